Log the course of each message that is not delivered in the time wanted

The inherited logs name no message, so no request can be followed. One line at its end now gives its attempts: when each was sent, where, and how and when it ended.

--- a/internal/node/loop.go
+++ b/internal/node/loop.go
@@ -45,6 +45,7 @@
 	over  bool               // ended; an attempt is still out
 	stop  context.CancelFunc // of the attempt that is out
 	call  *call              // that attempt
+	trail trail
 }
 
 // Node is one sender.
@@ -201,7 +202,7 @@
 			n.notices.add(*e.End)
 			continue
 		}
-		n.held[e.ID] = &held{msg: &e.Message, tries: e.Tries}
+		n.held[e.ID] = &held{msg: &e.Message, tries: e.Tries, trail: trail{came: time.Now()}}
 		n.open++
 		c := n.callOf(&e.Message, now)
 		c.Past = logic.Past{Tries: e.Tries, MayRun: e.MayRun || e.Open}
@@ -276,7 +277,7 @@
 		return
 	}
 	m := ev.msg
-	n.held[id] = &held{msg: &m}
+	n.held[id] = &held{msg: &m, trail: trail{came: time.Now()}}
 	n.open++
 	n.puts = append(n.puts, ev)
 	n.next = append(n.next, n.callOf(&m, time.Now().UnixMicro()))
@@ -360,6 +361,7 @@
 		h.stop, h.call = nil, nil
 	}
 	r := ev.result
+	h.trail.heard(r.outcome)
 	if r.wait > 0 {
 		n.holdWait(ev.call.ep)
 	}
@@ -369,6 +371,9 @@
 	case ended:
 	case done:
 		n.records = append(n.records, record{Op: opDone, ID: ev.call.id})
+		if late := time.Since(h.trail.came) > span(n.cfg.Deploy.Settings.Classes[n.cfg.Classes[h.msg.Class]].Aim); late || r.over {
+			n.badEnd(h, map[bool]string{true: "over", false: "late"}[r.over])
+		}
 		n.finish(ev.call.id, h)
 	default:
 		n.records = append(n.records, record{Op: opOutcome, ID: ev.call.id, MayRun: mayHaveRun(r.outcome)})
@@ -380,6 +385,12 @@
 		Attempt: ev.call.attempt, Outcome: r.outcome, Took: micros(ev.took), Wait: micros(r.wait)})
 }
 
+// badEnd logs the course of a message that was not delivered in the time wanted.
+func (n *Node) badEnd(h *held, end string) {
+	n.log.Info("message", "id", h.msg.ID, "class", h.msg.Class, "dest", h.msg.Dest, "end", end, "ms", h.trail.ms(),
+		"attempts", string(h.trail.text))
+}
+
 // mayHaveRun says what an outcome leaves open.
 func mayHaveRun(o logic.Outcome) bool {
 	return o != logic.Full && o != logic.RefusedConn && o != logic.Moot
@@ -503,6 +514,9 @@
 		}
 	case logic.Refuse, logic.Fail:
 		x := noticeOf(a)
+		if h := n.held[x.ID]; h != nil && !h.over {
+			n.badEnd(h, x.State)
+		}
 		if answers[x.ID] != "" {
 			n.drop(x.ID)
 			return
@@ -534,6 +548,7 @@
 	}
 	attempt := h.tries
 	h.tries++
+	h.trail.sent(a.Endpoint)
 	to := n.dir.eps[a.Endpoint]
 	in := &call{id: a.ID, attempt: attempt, ep: a.Endpoint, addr: to.addr, giveUp: span(a.GiveUp), state: new(atomic.Int32)}
 	c := n.cfg.Deploy.Settings.Classes[n.cfg.Classes[h.msg.Class]]
--- /dev/null
+++ b/internal/node/trail.go
@@ -0,0 +1,33 @@
+package node
+
+import (
+	"fmt"
+	"time"
+
+	"ravenmount/logic"
+)
+
+// outcomeNames are for the people on call.
+var outcomeNames = map[logic.Outcome]string{logic.Completed: "ok", logic.Errored: "error", logic.Full: "full",
+	logic.Overdue: "timeout", logic.RefusedConn: "no-connection", logic.Severed: "reset", logic.Recalled: "recalled",
+	logic.Moot: "not-sent", logic.Spoilt: "unreadable"}
+
+// trail is the course of a message: each attempt as the time of its send, its endpoint, its outcome and the
+// time of that, in milliseconds from when the message came.
+type trail struct {
+	came time.Time
+	text []byte
+}
+
+func (t *trail) ms() int64 { return time.Since(t.came).Milliseconds() }
+
+func (t *trail) sent(ep logic.EndpointID) {
+	if len(t.text) > 0 {
+		t.text = append(t.text, ' ')
+	}
+	t.text = fmt.Appendf(t.text, "%d>%d", t.ms(), ep)
+}
+
+func (t *trail) heard(o logic.Outcome) {
+	t.text = fmt.Appendf(t.text, ":%s@%d", outcomeNames[o], t.ms())
+}
