Send what one step sends to one endpoint as one bulk call

The module counts the sends of one step to one endpoint as one call, up to the batch of the kind: one slot, one token of the pace, one mark in the budget after an outage. The node wrote each as a call of its own, up to ten times as many. So destinations with a limit turned most away, slots ran out (not sent), and what came back was sent 2.9 times what it could do.

Ruled out: a leak of connections (failed connects stand only at endpoints that were out), and a missing budget after an outage (the module has one, but counted calls that were ten).

--- a/internal/node/answer.go
+++ b/internal/node/answer.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"bytes"
 	"errors"
 	"fmt"
 	"io"
@@ -29,7 +30,10 @@
 // connection can carry another. net/http's reader would not do: the first line
 // counts even where the rest of the head can't be read, and lengths that leave a
 // doubt are no lengths.
-func readAnswer(r *bufio.Reader, limit *cutoff) (result, bool) {
+func readAnswer(r *bufio.Reader, limit *cutoff) (result, bool) { return readWhole(r, limit, nil) }
+
+// readWhole also takes the body, if it is wanted. Then 200 counts only with all that follows.
+func readWhole(r *bufio.Reader, limit *cutoff, body *bytes.Buffer) (result, bool) {
 	for {
 		limit.wait(0)
 		if _, err := r.Peek(1); err != nil {
@@ -44,9 +48,9 @@
 		}
 		limit.wait(headTime)
 		status, err := readStatus(r)
-		if status == http.StatusOK { // true whatever follows
+		if status == http.StatusOK && body == nil { // true whatever follows
 			limit.wait(tailTime)
-			_, keep, tail := readRest(r, status)
+			_, keep, tail := readRest(r, status, io.Discard)
 			return result{outcome: logic.Completed}, err == nil && tail == nil && keep
 		}
 		if err != nil {
@@ -58,7 +62,11 @@
 			}
 			continue // an interim answer; the outcome is yet to come
 		}
-		header, keep, err := readRest(r, status)
+		var to io.Writer = io.Discard
+		if body != nil {
+			to = body
+		}
+		header, keep, err := readRest(r, status, to)
 		if err != nil && status != http.StatusInternalServerError {
 			return limit.broken(err), false
 		}
@@ -115,7 +123,7 @@
 }
 
 // readRest reads head and body, and says whether the connection can be used again.
-func readRest(r *bufio.Reader, status int) (http.Header, bool, error) {
+func readRest(r *bufio.Reader, status int, body io.Writer) (http.Header, bool, error) {
 	header, err := readHeader(r)
 	if err != nil {
 		return header, false, err
@@ -131,14 +139,14 @@
 		if err != nil || !digits(lengths[0]) || n > maxAnswer {
 			return header, false, fmt.Errorf("%w: length %.40q", errSpoilt, lengths[0])
 		}
-		if _, err := io.CopyN(io.Discard, r, n); err != nil {
+		if _, err := io.CopyN(body, r, n); err != nil {
 			return header, false, err
 		}
 	case len(codings) == 1:
 		if !strings.EqualFold(codings[0], "chunked") {
 			return header, false, fmt.Errorf("%w: coding %.40q", errSpoilt, codings[0])
 		}
-		if _, err := io.Copy(io.Discard, httputil.NewChunkedReader(r)); err != nil {
+		if _, err := io.Copy(body, httputil.NewChunkedReader(r)); err != nil {
 			return header, false, spoilt(err)
 		}
 		if _, err := readHeader(r); err != nil { // trailers
@@ -146,7 +154,7 @@
 		}
 	default: // the body ends with the connection
 		keep = false
-		if _, err := io.Copy(io.Discard, r); err != nil {
+		if _, err := io.Copy(body, r); err != nil {
 			return header, false, err
 		}
 	}
@@ -156,12 +164,10 @@
 // outcomeOf reads an answer that came whole.
 func outcomeOf(status int, header http.Header) result {
 	switch status {
+	case http.StatusOK:
+		return result{outcome: logic.Completed, wait: waitOf(header)}
 	case http.StatusTooManyRequests:
-		ms, err := strconv.ParseInt(header.Get("X-Come-Back-Ms"), 10, 64)
-		if err != nil || ms < 0 {
-			ms = 0
-		}
-		return result{outcome: logic.Full, wait: time.Duration(min(ms, maxHold.Milliseconds())) * time.Millisecond}
+		return result{outcome: logic.Full, wait: waitOf(header)}
 	case http.StatusServiceUnavailable:
 		if header.Get("X-Line-Busy") == "1" {
 			return result{outcome: logic.Moot}
@@ -175,6 +181,15 @@
 	return result{outcome: logic.Errored}
 }
 
+// waitOf is the wait that an answer tells; 0 if none.
+func waitOf(header http.Header) time.Duration {
+	ms, err := strconv.ParseInt(header.Get("X-Come-Back-Ms"), 10, 64)
+	if err != nil || ms < 0 {
+		return 0
+	}
+	return time.Duration(min(ms, maxHold.Milliseconds())) * time.Millisecond
+}
+
 func isTimeout(err error) bool {
 	var t net.Error
 	return errors.As(err, &t) && t.Timeout()
--- /dev/null
+++ b/internal/node/bulk_test.go
@@ -0,0 +1,161 @@
+package node
+
+import (
+	"encoding/json"
+	"fmt"
+	"io"
+	"log/slog"
+	"maps"
+	"slices"
+	"strings"
+	"testing"
+	"time"
+
+	"ravenmount/logic"
+)
+
+// bulkStep is a sender that is not running and has decided to send each message to an endpoint of a kind that
+// takes batches.
+func bulkStep(t *testing.T, bodies map[string]string) (*Node, *endpoint) {
+	t.Helper()
+	e, p := newEndpoint(t), newPlatform(t)
+	cfg, err := ParseConfig(configText(p, List{}))
+	if err != nil {
+		t.Fatal(err)
+	}
+	cfg.StateDir = t.TempDir()
+	cfg.Deploy.Settings.Kinds[0].Batch = 10
+	n, err := New(cfg, slog.New(slog.DiscardHandler))
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { n.journal.Close() })
+	rows := n.dir.take(List{Generation: 1, Reset: true, Instances: instances(e)})
+	for _, id := range slices.Sorted(maps.Keys(bodies)) {
+		n.held[id] = &held{msg: &Message{ID: id, Class: "safe", Body: []byte(bodies[id])}, trail: trail{came: time.Now()}}
+		n.callOut(t.Context(), logic.CallOut{ID: id, GiveUp: micros(patience), Endpoint: rows[0].Endpoint}, true)
+	}
+	return n, e
+}
+
+// ends collects the outcomes of so many calls.
+func ends(t *testing.T, n *Node, count int) map[string]logic.Outcome {
+	t.Helper()
+	out := map[string]logic.Outcome{}
+	for range count {
+		ev := await(t, n.events, "outcome").(replyEvent)
+		out[ev.call.id] = ev.result.outcome
+	}
+	return out
+}
+
+// bulkBody answers 200 with a body.
+func bulkBody(c *inCall, body string) {
+	fmt.Fprintf(c.conn, "HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", len(body), body)
+	c.done <- true
+}
+
+// What one step sends to one endpoint is one call: so the module counts slots, pace and budget.
+func TestBulkIsOneCall(t *testing.T) {
+	bodies := map[string]string{"a": "body of a", "b": "\x00\xff", "c": ""}
+	n, e := bulkStep(t, bodies)
+	n.launch(t.Context())
+	in := await(t, e.calls, "call")
+	if in.req.URL.Path != "/inbox/bulk" || in.req.Header.Get("X-Expires-In-Ms") != "20000" {
+		t.Fatalf("call to %s with %v", in.req.URL.Path, in.req.Header)
+	}
+	var items []bulkItem
+	if err := json.Unmarshal([]byte(in.body), &items); err != nil {
+		t.Fatal(err)
+	}
+	got := map[string]string{}
+	for _, x := range items {
+		got[x.ID] = string(x.Body)
+	}
+	if !maps.Equal(got, bodies) {
+		t.Errorf("sent %q", got)
+	}
+	bulkBody(in, `[{"id":"a","state":"done"},{"id":"b","state":"busy"},{"id":"c","state":"failed"}]`)
+	want := map[string]logic.Outcome{"a": logic.Completed, "b": logic.Full, "c": logic.Errored}
+	if got := ends(t, n, 3); !maps.Equal(got, want) {
+		t.Errorf("outcomes %v, want %v", got, want)
+	}
+	e.none(t)
+	if len(e.conns) != 1 {
+		t.Errorf("%d connections", len(e.conns))
+	}
+}
+
+// An answer for all holds for each; of one that can't be read, any message may have run.
+func TestBulkAnswers(t *testing.T) {
+	for name, x := range map[string]struct {
+		answer string
+		a, b   logic.Outcome
+	}{
+		"full":       {"HTTP/1.1 503 x\r\nContent-Length: 0\r\n\r\n", logic.Full, logic.Full},
+		"no slot":    {"HTTP/1.1 503 x\r\nX-Line-Busy: 1\r\nContent-Length: 0\r\n\r\n", logic.Moot, logic.Moot},
+		"error":      {"HTTP/1.1 500 x\r\nContent-Length: 0\r\n\r\n", logic.Errored, logic.Errored},
+		"spoilt":     {"HTTP/1.1 200 x\r\nContent-Length: 9\r\n\r\nnot JSON!", logic.Spoilt, logic.Spoilt},
+		"cut short":  {"HTTP/1.1 200 x\r\nContent-Length: 99\r\n\r\n[]", logic.Severed, logic.Severed},
+		"one absent": {"HTTP/1.1 200 x\r\nContent-Length: 27\r\n\r\n[{\"id\":\"a\",\"state\":\"done\"}]", logic.Completed, logic.Spoilt},
+	} {
+		t.Run(name, func(t *testing.T) {
+			n, e := bulkStep(t, map[string]string{"a": "x", "b": "y"})
+			n.launch(t.Context())
+			in := await(t, e.calls, "call")
+			io.WriteString(in.conn, x.answer)
+			if name == "cut short" {
+				in.conn.Close()
+			}
+			in.done <- false
+			if got := ends(t, n, 2); got["a"] != x.a || got["b"] != x.b {
+				t.Errorf("outcomes %v", got)
+			}
+		})
+	}
+}
+
+// One message that is called off ends at once; the others have their answer.
+func TestBulkCancelOne(t *testing.T) {
+	n, e := bulkStep(t, map[string]string{"a": "x", "b": "y"})
+	n.launch(t.Context())
+	in := await(t, e.calls, "call")
+	n.held["a"].stop()
+	if got := ends(t, n, 1); got["a"] != logic.Recalled {
+		t.Fatalf("outcomes %v", got)
+	}
+	bulkBody(in, `[{"id":"a","state":"done"},{"id":"b","state":"done"}]`)
+	if got := ends(t, n, 1); got["b"] != logic.Completed {
+		t.Errorf("outcomes %v", got)
+	}
+}
+
+// Once all are called off, the endpoint is told by the end of the connection.
+func TestBulkCancelAll(t *testing.T) {
+	n, e := bulkStep(t, map[string]string{"a": "x", "b": "y"})
+	n.launch(t.Context())
+	in := await(t, e.calls, "call")
+	n.held["a"].stop()
+	n.held["b"].stop()
+	if got := ends(t, n, 2); got["a"] != logic.Recalled || got["b"] != logic.Recalled {
+		t.Errorf("outcomes %v", got)
+	}
+	in.awaitEnd(t)
+	in.conn.Close()
+	in.done <- false
+}
+
+// A body holds 64 KiB: messages that would not fit go in a call of their own.
+func TestBulkBody(t *testing.T) {
+	n, e := bulkStep(t, map[string]string{"a": strings.Repeat("x", 40<<10), "b": strings.Repeat("y", 40<<10), "c": "z"})
+	n.launch(t.Context())
+	for range 2 {
+		in := await(t, e.calls, "call")
+		if len(in.body) > 64<<10 {
+			t.Errorf("a body of %d bytes", len(in.body))
+		}
+		in.reply(503)
+	}
+	ends(t, n, 3)
+	e.none(t)
+}
--- a/internal/node/calls.go
+++ b/internal/node/calls.go
@@ -36,6 +36,7 @@
 	giveUp  time.Duration
 	fragile bool      // a reset is its end: it keeps off kept connections while those break
 	writeBy time.Time // not to be written after this; zero for no such time
+	msg     *Message
 	request *http.Request
 	state   *atomic.Int32
 }
@@ -108,6 +109,11 @@
 		}
 		return result{outcome: logic.RefusedConn}
 	}
+	return c.exchange(ctx, in, conn, deadline, nil)
+}
+
+// exchange writes a request and reads its answer, the body too if it is wanted. Then conn is kept or closed.
+func (c *caller) exchange(ctx context.Context, in *call, conn *idleConn, deadline time.Time, body *bytes.Buffer) result {
 	var b bytes.Buffer
 	if err := in.request.Write(&b); err != nil {
 		c.drop(conn)
@@ -122,7 +128,7 @@
 		return result{outcome: logic.RefusedConn} // its last byte was not written
 	}
 	conn.limit.N = maxAnswer
-	r, keep := readAnswer(conn.r, limit)
+	r, keep := readWhole(conn.r, limit, body)
 	if r.outcome == logic.Severed && !conn.since.IsZero() {
 		c.mu.Lock()
 		c.brokeAt = time.Now()
@@ -373,14 +379,22 @@
 
 // deliverRequest is the request that hands m to an endpoint.
 func deliverRequest(m *Message, addr string, giveUp time.Duration) (*http.Request, error) {
-	req, err := http.NewRequest(http.MethodPost, "http://"+addr+"/inbox", bytes.NewReader(m.Body))
+	req, err := postRequest(addr, "/inbox", m.Body, giveUp)
 	if err != nil {
-		return nil, fmt.Errorf("request to %s: %w", addr, err)
+		return nil, err
 	}
 	req.Header.Set("X-Trace-Id", m.ID)
 	if m.Key != "" {
 		req.Header.Set("Idempotency-Key", m.Key)
 	}
+	return req, nil
+}
+
+func postRequest(addr, path string, body []byte, giveUp time.Duration) (*http.Request, error) {
+	req, err := http.NewRequest(http.MethodPost, "http://"+addr+path, bytes.NewReader(body))
+	if err != nil {
+		return nil, fmt.Errorf("request to %s: %w", addr, err)
+	}
 	req.Header.Set("X-Expires-In-Ms", strconv.FormatInt(max(giveUp.Milliseconds(), 1), 10))
 	return req, nil
 }
--- a/internal/node/loop.go
+++ b/internal/node/loop.go
@@ -75,6 +75,7 @@
 	closing bool
 	puts    []putEvent
 	records []record
+	calling []outgoing // calls of the step at hand
 }
 
 // New makes a sender and replays its journal.
@@ -462,6 +463,7 @@
 	for _, a := range actions {
 		n.act(work, a, answers, err == nil)
 	}
+	n.launch(work)
 }
 
 // answers finds the messages that the module ends in the step in which they came:
@@ -550,7 +552,7 @@
 	h.tries++
 	h.trail.sent(a.Endpoint)
 	to := n.dir.eps[a.Endpoint]
-	in := &call{id: a.ID, attempt: attempt, ep: a.Endpoint, addr: to.addr, giveUp: span(a.GiveUp), state: new(atomic.Int32)}
+	in := &call{id: a.ID, attempt: attempt, ep: a.Endpoint, addr: to.addr, giveUp: span(a.GiveUp), msg: h.msg, state: new(atomic.Int32)}
 	c := n.cfg.Deploy.Settings.Classes[n.cfg.Classes[h.msg.Class]]
 	in.fragile = c.Effect == logic.Unsafe
 	if e := n.journal.Entry(a.ID); e != nil && e.MayRun && c.Effect == logic.Keyed { // a repeat: by the end of the window it must be written
@@ -567,15 +569,41 @@
 		time.AfterFunc(retryPause, func() { n.events <- ev }) // a full disk, say: room may come
 		return
 	}
-	go func() {
-		at := time.Now()
-		r := n.caller.do(ctx, in)
-		took := time.Since(at)
-		if r.local {
-			pause(ctx, retryPause) // descriptors, say: room may come
-		}
-		n.events <- replyEvent{in, r, took}
-	}()
+	n.calling = append(n.calling, outgoing{ctx, in})
+}
+
+// launch makes the calls that the step has decided on. Those to one endpoint go as one, as far as its kind allows:
+// so the module counts them, and so does the endpoint.
+func (n *Node) launch(work context.Context) {
+	var group []outgoing
+	for rest := n.calling; len(rest) > 0; {
+		group, rest = together(rest, n.batch(rest[0].ep))
+		go n.call(work, group)
+	}
+	n.calling = nil
+}
+
+// batch is how many messages one call to ep may carry.
+func (n *Node) batch(ep logic.EndpointID) int {
+	kinds := n.cfg.Deploy.Settings.Kinds
+	if kind := n.dir.eps[ep].kind; kind >= 0 && kind < len(kinds) {
+		return kinds[kind].Batch
+	}
+	return 1
+}
+
+func (n *Node) call(work context.Context, group []outgoing) {
+	at := time.Now()
+	if len(group) > 1 {
+		n.caller.doBulk(work, group, func(in *call, r result) { n.events <- replyEvent{in, r, time.Since(at)} })
+		return
+	}
+	r := n.caller.do(group[0].ctx, group[0].call)
+	took := time.Since(at)
+	if r.local {
+		pause(group[0].ctx, retryPause) // descriptors, say: room may come
+	}
+	n.events <- replyEvent{group[0].call, r, took}
 }
 
 // hold keeps calls that are still connecting from being written: what the module decided before it knew better
