Pass the load reports of answers on to the module

The deployment's answers tell the limit of a destination, and the module bounds its pace by it, but the node dropped the header: in service no limit was ever known. One that can't be read counts as none.

--- a/internal/node/answer.go
+++ b/internal/node/answer.go
@@ -6,10 +6,12 @@
 	"errors"
 	"fmt"
 	"io"
+	"math"
 	"net"
 	"net/http"
 	"net/http/httputil"
 	"net/textproto"
+	"slices"
 	"strconv"
 	"strings"
 	"time"
@@ -23,6 +25,9 @@
 	tailTime  = 50 * time.Millisecond // for what does not; a connection that is slower is not used again
 )
 
+// loadHeader carries a load report.
+const loadHeader = "Endpoint-Load-Metrics"
+
 // errSpoilt says that an answer can't be read.
 var errSpoilt = errors.New("spoilt answer")
 
@@ -50,8 +55,8 @@
 		status, err := readStatus(r)
 		if status == http.StatusOK && body == nil { // true whatever follows
 			limit.wait(tailTime)
-			_, keep, tail := readRest(r, status, io.Discard)
-			return result{outcome: logic.Completed}, err == nil && tail == nil && keep
+			header, keep, tail := readRest(r, status, io.Discard)
+			return result{outcome: logic.Completed, load: header.Get(loadHeader)}, err == nil && tail == nil && keep
 		}
 		if err != nil {
 			return limit.broken(err), false
@@ -70,7 +75,9 @@
 		if err != nil && status != http.StatusInternalServerError {
 			return limit.broken(err), false
 		}
-		return outcomeOf(status, header), keep && err == nil
+		out := outcomeOf(status, header)
+		out.load = header.Get(loadHeader)
+		return out, keep && err == nil
 	}
 }
 
@@ -190,6 +197,25 @@
 	return time.Duration(min(ms, maxHold.Milliseconds())) * time.Millisecond
 }
 
+// loadOf reads a load report: the values in the order of names. One that can't be read is none.
+func loadOf(report string, names []string) []float64 {
+	if report == "" || len(names) == 0 {
+		return nil
+	}
+	out := make([]float64, len(names))
+	for _, pair := range strings.Split(report, ",") {
+		name, value, ok := strings.Cut(strings.TrimSpace(pair), "=")
+		x, err := strconv.ParseFloat(value, 64)
+		if !ok || err != nil || math.IsNaN(x) || math.IsInf(x, 0) || x < 0 {
+			return nil
+		}
+		if i := slices.Index(names, name); i >= 0 {
+			out[i] = x
+		}
+	}
+	return out
+}
+
 func isTimeout(err error) bool {
 	var t net.Error
 	return errors.As(err, &t) && t.Timeout()
--- a/internal/node/answer_test.go
+++ b/internal/node/answer_test.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"io"
 	"net"
+	"slices"
 	"strings"
 	"syscall"
 	"testing"
@@ -343,3 +344,32 @@
 		t.Error("a fragile call over a kept connection while those break")
 	}
 }
+
+// The limit that an answer tells is what bounds the pace: the module must hear it, with any outcome.
+func TestLoadReportReachesModule(t *testing.T) {
+	for _, status := range []int{200, 503, 500} {
+		n, e := bulkStep(t, map[string]string{"a": "x"})
+		n.cfg.Deploy.Reports = []string{"x0", "x1"}
+		n.launch(t.Context())
+		await(t, e.calls, "call").reply(status, "Endpoint-Load-Metrics: x0=0.4,x1=25")
+		n.reply(await(t, n.events, "outcome").(replyEvent))
+		if got := n.next[0].(logic.Reply).Load; !slices.Equal(got, []float64{0.4, 25}) {
+			t.Errorf("%d: load %v", status, got)
+		}
+	}
+}
+
+func TestLoadOf(t *testing.T) {
+	names := []string{"x0", "x1"}
+	for report, want := range map[string][]float64{
+		"x1=25,x0=0.4": {0.4, 25}, "x1=25": {0, 25}, " x0=1, x1=2,more=3": {1, 2},
+		"": nil, "x0": nil, "x0=much,x1=2": nil, "x1=NaN": nil, "x1=+Inf": nil, "x1=-3": nil,
+	} {
+		if got := loadOf(report, names); !slices.Equal(got, want) {
+			t.Errorf("%q: %v, want %v", report, got, want)
+		}
+	}
+	if got := loadOf("x1=25", nil); got != nil {
+		t.Errorf("reports that the settings do not name: %v", got)
+	}
+}
--- a/internal/node/bulk.go
+++ b/internal/node/bulk.go
@@ -165,14 +165,14 @@
 		b.settleAll(sent, r)
 		return
 	}
-	for in, r := range bulkEnds(sent, body.Bytes(), r.wait) {
+	for in, r := range bulkEnds(sent, body.Bytes(), r) {
 		b.settle(in, r)
 	}
 }
 
 // bulkEnds reads the body of an answer. A message that it does not name, or not in a way that can be read, may
 // have run.
-func bulkEnds(sent []*call, body []byte, wait time.Duration) map[*call]result {
+func bulkEnds(sent []*call, body []byte, answer result) map[*call]result {
 	var ends []bulkEnd
 	if err := json.Unmarshal(body, &ends); err != nil {
 		ends = nil
@@ -190,7 +190,7 @@
 		if !ok {
 			r = result{outcome: logic.Spoilt}
 		}
-		r.wait = wait
+		r.wait, r.load = answer.wait, answer.load
 		out[in] = r
 	}
 	return out
--- a/internal/node/calls.go
+++ b/internal/node/calls.go
@@ -54,6 +54,7 @@
 	wait    time.Duration // told by a refusal
 	over    bool          // the endpoint says that the message is over
 	local   bool          // nothing was sent for want of something at this end
+	load    string        // the load report of the answer, as it came
 }
 
 // idleConn is a connection with no call on it.
--- a/internal/node/loop.go
+++ b/internal/node/loop.go
@@ -383,7 +383,7 @@
 		delete(n.held, ev.call.id)
 	}
 	n.next = append(n.next, logic.Reply{ID: ev.call.id, NoMore: ended || done, Endpoint: ev.call.ep,
-		Attempt: ev.call.attempt, Outcome: r.outcome, Took: micros(ev.took), Wait: micros(r.wait)})
+		Attempt: ev.call.attempt, Outcome: r.outcome, Took: micros(ev.took), Wait: micros(r.wait), Load: loadOf(r.load, n.cfg.Deploy.Reports)})
 }
 
 // badEnd logs the course of a message that was not delivered in the time wanted.
--- a/internal/wire/settings.go
+++ b/internal/wire/settings.go
@@ -84,6 +84,7 @@
 	Me             int      // number of this sender
 	Zones          []string // names, in the order of logic.Entry.Zone
 	ConnectTimeout logic.Micros
+	Reports        []string // names of the values of a load report, in the order of logic.Reply.Load; nil if none come
 }
 
 // ParseSettings reads the module's settings from the JSON object of a create
@@ -100,7 +101,11 @@
 		return Deployment{}, err
 	}
 	set, err := in.settings()
-	return Deployment{Settings: set, Me: in.Me, Zones: in.Zones, ConnectTimeout: micros(in.Limits.ConnTimeout)}, err
+	out := Deployment{Settings: set, Me: in.Me, Zones: in.Zones, ConnectTimeout: micros(in.Limits.ConnTimeout)}
+	if in.Load.How != "off" {
+		out.Reports = in.Load.Names
+	}
+	return out, err
 }
 
 func (in *setup) settings() (logic.Settings, error) {
