--- a/internal/node/calls.go
+++ b/internal/node/calls.go
@@ -55,6 +55,7 @@
 	over    bool          // the endpoint says that the message is over
 	local   bool          // nothing was sent for want of something at this end
 	load    string        // the load report of the answer, as it came
+	idle    time.Duration // for how long the connection was kept before; 0 if it was made for the call
 }
 
 // idleConn is a connection with no call on it.
@@ -120,6 +121,10 @@
 		c.drop(conn)
 		return result{outcome: logic.RefusedConn}
 	}
+	idle := time.Duration(0)
+	if !conn.since.IsZero() {
+		idle = time.Since(conn.since)
+	}
 	limit := &cutoff{conn: conn, by: deadline, linger: c.linger}
 	stop := context.AfterFunc(ctx, limit.cancel)
 	limit.wait(0)
@@ -130,6 +135,7 @@
 	}
 	conn.limit.N = maxAnswer
 	r, keep := readWhole(conn.r, limit, body)
+	r.idle = idle
 	if r.outcome == logic.Severed && !conn.since.IsZero() {
 		c.mu.Lock()
 		c.brokeAt = time.Now()
--- a/internal/node/loop.go
+++ b/internal/node/loop.go
@@ -362,7 +362,7 @@
 		h.stop, h.call = nil, nil
 	}
 	r := ev.result
-	h.trail.heard(r.outcome)
+	h.trail.heard(r)
 	if r.wait > 0 {
 		n.holdWait(ev.call.ep)
 	}
--- a/internal/node/trail.go
+++ b/internal/node/trail.go
@@ -28,6 +28,10 @@
 	t.text = fmt.Appendf(t.text, "%d>%d", t.ms(), ep)
 }
 
-func (t *trail) heard(o logic.Outcome) {
-	t.text = fmt.Appendf(t.text, ":%s@%d", outcomeNames[o], t.ms())
+// heard notes an outcome, with the time for which a kept connection had been idle.
+func (t *trail) heard(r result) {
+	t.text = fmt.Appendf(t.text, ":%s@%d", outcomeNames[r.outcome], t.ms())
+	if r.idle > 0 {
+		t.text = fmt.Appendf(t.text, "(idle %d)", r.idle.Milliseconds())
+	}
 }
