Count only what was sent since an outage began in the budget after it

The budget of an endpoint that failed counted the sends of the last three seconds, those from before the failure too.

Ruled out by the log: stale kept connections, resets before the first write.

--- a/logic/logic.go
+++ b/logic/logic.go
@@ -146,6 +146,7 @@
 		for _, x := range d.eps {
 			if x.cold && e.lane == x.lane {
 				e.cold, e.suspect, e.backAt, e.trialAt, e.lastBad = true, x.suspect, x.backAt, x.trialAt, x.lastBad
+				e.downAt = x.downAt
 			}
 		}
 	}
@@ -406,11 +407,18 @@
 	}) {
 		return 0
 	}
-	up, cold, last, long := 1.0, 0, []Micros(nil), s.set.FallWindow
+	// What went there before the outage is no burden on what comes back: counted, it would hold up the first
+	// trial, and with it the return, for a whole window.
+	up, cold, last, long, from := 1.0, 0, []Micros(nil), s.set.FallWindow, s.now
+	for _, x := range e.dest.eps {
+		if x.cold && x.lane == e.lane {
+			from = min(from, x.downAt)
+		}
+	}
 	for _, x := range e.dest.eps {
 		if (x.cold || x == e) && x.lane == e.lane {
 			cold++
-			last = append(last, x.sent...)
+			last = append(last, x.sent[len(x.sent)-since(x.sent, from):]...)
 			if x.suspect {
 				up = min(up, 0)
 			} else if x.cold {
@@ -836,7 +844,7 @@
 func (s *Sender) takeOut(e *endpoint, how string) {
 	s.suspect(e, how)
 	if !e.cold {
-		e.cold = true
+		e.cold, e.downAt = true, e.lastOK
 		e.dest.came, e.dest.downAt = 1, s.now
 	}
 }
--- /dev/null
+++ b/logic/outage_test.go
@@ -0,0 +1,43 @@
+package logic
+
+import "testing"
+
+// Found on a recorded day: what went to an endpoint before it failed filled the budget of its trials, so that one
+// that was back at once stayed out for a whole window.
+func TestTrialIsNotHeldByWhatWentBefore(t *testing.T) {
+	set := base()
+	set.FallMultiple, set.FallWindow = 2.5, 3*Second
+	r := newRig(t, set)
+	r.step(0, list(1))
+	at := 0.0
+	for range 60 {
+		at += 0.1
+		c := only[CallOut](r.step(at, r.call(0)))[0]
+		r.step(at+0.05, answer(c.ID, c.Endpoint, 0, Completed))
+	}
+	c := only[CallOut](r.step(at+0.1, r.call(0)))[0]
+	c = only[CallOut](r.step(at+0.11, answer(c.ID, c.Endpoint, 0, RefusedConn)))[0]
+	if acts := r.step(at+0.12, answer(c.ID, c.Endpoint, 1, RefusedConn)); len(only[CallOut](acts)) > 0 {
+		t.Fatal("no pause before the first trial")
+	}
+	if !r.s.eps[1].cold {
+		t.Fatal("two refused connections in a row are no outage")
+	}
+	back := at + 0.12 + seconds(trialGap) + 0.01
+	trial := only[CallOut](r.step(back, Due{}))
+	if len(trial) != 1 {
+		t.Fatalf("%d calls at the time of the first trial, want 1", len(trial))
+	}
+	r.step(back+0.05, answer(trial[0].ID, 1, 2, Completed))
+	// What goes there from the outage on is counted: an own peak of 11 a second, shared by two, cold.
+	sent := len(trial)
+	for i := range 50 {
+		for _, c := range only[CallOut](r.step(back+0.06+0.04*float64(i), r.call(0))) {
+			sent++
+			r.step(back+0.061+0.04*float64(i), answer(c.ID, c.Endpoint, 0, Completed))
+		}
+	}
+	if most := 11 * set.FallMultiple * 3 * 0.3 / 2; float64(sent) > most {
+		t.Errorf("%d calls within 2 s of the return, want %v at most", sent, most)
+	}
+}
