Count a failed batch as one sign of an outage

A batch is one call with one fate, but the module counted its end once for each message: an unreadable answer to four messages was four in a row, a reset of three was three, an error of two was two, and took an endpoint out that answered all else. Now each call is one sign. The node also gives the ends of a batch in the order of its messages.

Ruled out: an outage of those endpoints (they answered calls of the same time).

--- a/internal/node/bulk.go
+++ b/internal/node/bulk.go
@@ -165,14 +165,14 @@
 		b.settleAll(sent, r)
 		return
 	}
-	for in, r := range bulkEnds(sent, body.Bytes(), r) {
-		b.settle(in, r)
+	for i, r := range bulkEnds(sent, body.Bytes(), r) {
+		b.settle(sent[i], r)
 	}
 }
 
-// bulkEnds reads the body of an answer. A message that it does not name, or not in a way that can be read, may
-// have run.
-func bulkEnds(sent []*call, body []byte, answer result) map[*call]result {
+// bulkEnds reads the body of an answer, for each call in turn. A message that it does not name, or not in a way
+// that can be read, may have run.
+func bulkEnds(sent []*call, body []byte, answer result) []result {
 	var ends []bulkEnd
 	if err := json.Unmarshal(body, &ends); err != nil {
 		ends = nil
@@ -184,14 +184,14 @@
 		}
 		states[x.ID] = x.State
 	}
-	out := map[*call]result{}
+	out := make([]result, 0, len(sent))
 	for _, in := range sent {
 		r, ok := bulkOutcomes[states[in.id]]
 		if !ok {
 			r = result{outcome: logic.Spoilt}
 		}
-		r.wait, r.load = answer.wait, answer.load
-		out[in] = r
+		r.wait, r.load, r.idle = answer.wait, answer.load, answer.idle
+		out = append(out, r)
 	}
 	return out
 }
--- a/logic/logic.go
+++ b/logic/logic.go
@@ -744,25 +744,14 @@
 		} else if a.stuck && e.lastOK < a.at {
 			s.failed(e, "silent")
 		}
-	case Spoilt: // from any endpoint alike, so it tells nothing of health unless nothing else comes
-		if e.spoilt++; e.spoilt >= spoiltDown {
-			s.failed(e, "spoilt answers")
-		}
-	case RefusedConn:
-		if e.resets++; e.resets > 1 || e.lastOK < s.now-lately {
-			s.failed(e, "refuses connections")
-		}
 	case Severed:
-		// A connection that breaks may be at fault itself: one that was kept too long, a box in between. An
-		// endpoint that is down breaks all, and takes no new ones.
-		if e.resets++; e.resets >= resetsDown || e.suspect {
-			s.failed(e, "resets")
-		}
 		m.rest = s.now + errorRest
 	case Errored:
-		s.failed(e, "errors")
 		m.rest = s.now + errorRest<<min(m.tries, 5)
 	}
+	if lastOfCall { // a batch is one call: one sign
+		s.sign(e, r.Outcome)
+	}
 	// Connections of many senders, idle ones counted, fill an endpoint: those that we use rarely are given back,
 	// unless new ones are dear.
 	e.warm = s.now + s.set.ConnIdle
@@ -778,6 +767,28 @@
 	s.endIfStuck(m)
 }
 
+// sign notes what the end of a call at e says of an outage there.
+func (s *Sender) sign(e *endpoint, o Outcome) {
+	switch o {
+	case Spoilt: // from any endpoint alike, so it tells nothing of health unless nothing else comes
+		if e.spoilt++; e.spoilt >= spoiltDown {
+			s.failed(e, "spoilt answers")
+		}
+	case RefusedConn:
+		if e.resets++; e.resets > 1 || e.lastOK < s.now-lately {
+			s.failed(e, "refuses connections")
+		}
+	case Severed:
+		// A connection that breaks may be at fault itself: one that was kept too long, a box in between. An
+		// endpoint that is down breaks all, and takes no new ones.
+		if e.resets++; e.resets >= resetsDown || e.suspect {
+			s.failed(e, "resets")
+		}
+	case Errored:
+		s.failed(e, "errors")
+	}
+}
+
 // again decides on a refused message where the floors of all senders add up past the limit. Calls tried
 // again, by clients too, use up limits that count refusals. While the kind turns few away, a message rests
 // for a part of its time left, so that clumps spread; with more, only the worthier do.
--- a/logic/outage_test.go
+++ b/logic/outage_test.go
@@ -41,3 +41,28 @@
 		t.Errorf("%d calls within 2 s of the return, want %v at most", sent, most)
 	}
 }
+
+// Found on a recorded day: one batch that failed counted as a failure for each message in it, and took an endpoint
+// out that answered all else.
+func TestFailedBatchIsOneSign(t *testing.T) {
+	for _, o := range []Outcome{Spoilt, Errored, Severed, RefusedConn} {
+		set := base()
+		set.Kinds[0].Batch = 10
+		r := newRig(t, set)
+		r.step(0, list(1))
+		c := only[CallOut](r.step(1, r.call(0)))[0]
+		r.step(1.1, answer(c.ID, c.Endpoint, 0, Completed))
+		batch := only[CallOut](r.step(1.2, r.call(0), r.call(0), r.call(0), r.call(0), r.call(0)))
+		if len(batch) != 5 {
+			t.Fatalf("%d sends", len(batch))
+		}
+		var ends []Event
+		for _, c := range batch {
+			ends = append(ends, answer(c.ID, c.Endpoint, 0, o))
+		}
+		r.step(1.3, ends...)
+		if r.s.eps[1].suspect {
+			t.Errorf("outcome %d of one batch took the endpoint out", o)
+		}
+	}
+}
