Let the pace creep once for each call, not for each message of a batch

The pace counts calls, but grew by a tenth with each message delivered, so by up to 2.6 times with one batch: halving was undone within a few calls, and refusals did not fade.

--- a/logic/logic.go
+++ b/logic/logic.go
@@ -724,7 +724,9 @@
 			e.slow = float64(r.Took)
 		}
 		s.succeeded(e, a.at)
-		s.creep(e.lane)
+		if lastOfCall { // the pace counts calls
+			s.creep(e.lane)
+		}
 	case Full:
 		if r.Wait > 0 {
 			e.lane.until = max(e.lane.until, s.now+r.Wait)
--- a/logic/mechanism_test.go
+++ b/logic/mechanism_test.go
@@ -682,3 +682,27 @@
 		}
 	}
 }
+
+// Found on a standard day: the pace counts calls, but crept by each message of a batch, and so doubled with each
+// call that a destination took.
+func TestPaceCreepsByCalls(t *testing.T) {
+	set := base()
+	set.Kinds[0].Batch = 10
+	r := newRig(t, set)
+	r.step(0, list(1))
+	l := r.s.dests[9].lane
+	l.pace, l.filled = 10, sec(0.5)
+	batch := only[CallOut](r.step(1, r.call(0), r.call(0), r.call(0), r.call(0), r.call(0)))
+	if len(batch) != 5 {
+		t.Fatalf("%d sends", len(batch))
+	}
+	l.sent = append(l.sent, sec(0.9), sec(0.9), sec(0.9)) // enough for the pace to stand
+	var ends []Event
+	for _, c := range batch {
+		ends = append(ends, answer(c.ID, c.Endpoint, 0, Completed))
+	}
+	r.step(1.1, ends...)
+	if want := 10 * (1 + paceCreep); l.pace != want {
+		t.Errorf("pace %v after one call, want %v", l.pace, want)
+	}
+}
