Follow the list from the start where it is pushed

The watch of discovery began only when the module asked for the list, and the module asks only where it comes on request. Where it is pushed, as here, nobody ever asked: the sender lived on the list of its start, sent to endpoints that drained or were gone, and at last to addresses that others had. The tests ran with the list on request and did not see it. The sender now starts the watch itself, and logs each news of the list.

Ruled out: news that came late or was misread (the log of list news stayed empty).

--- a/internal/node/loop.go
+++ b/internal/node/loop.go
@@ -117,6 +117,9 @@
 	go n.notices.run(work)
 	go n.clients.serve(ln)
 	go n.reloads(work)
+	if !n.cfg.Deploy.Settings.OnRequest {
+		n.disc.watch(work) // the module asks only where it must; after a failed call it does so in any case
+	}
 	n.log.Info("ready", "name", n.cfg.Name, "addr", ln.Addr().String(), "held", len(n.held))
 	n.ready <- ln.Addr()
 	served := make(chan struct{}) // closed when no client is left
@@ -314,6 +317,7 @@
 		form = logic.ListFull
 	}
 	rows := n.dir.take(ev.list)
+	n.log.Info("list", "generation", ev.list.Generation, "whole", ev.list.Reset, "entries", len(ev.list.Instances))
 	n.hold(func(ep logic.EndpointID) bool {
 		i := slices.IndexFunc(rows, func(row logic.Entry) bool { return row.Endpoint == ep })
 		return i >= 0 && rows[i].State != logic.Ready || i < 0 && ev.list.Reset
--- a/internal/node/node_test.go
+++ b/internal/node/node_test.go
@@ -1,6 +1,7 @@
 package node
 
 import (
+	"context"
 	"fmt"
 	"log/slog"
 	"net"
@@ -489,3 +490,45 @@
 		}
 	}
 }
+
+// Where the list is pushed the module does not ask for it: the sender follows it all the same, and again after a
+// call that failed.
+func TestPushedListIsFollowed(t *testing.T) {
+	p, old, fresh := newPlatform(t), newEndpoint(t), newEndpoint(t)
+	known := List{Generation: 1, Reset: true, Instances: instances(old)}
+	p.list = known
+	cfg, err := ParseConfig([]byte(strings.Replace(string(configText(p, known)), "on_request", "pushed", 1)))
+	if err != nil {
+		t.Fatal(err)
+	}
+	cfg.StateDir = t.TempDir()
+	n, err := New(cfg, slog.New(slog.DiscardHandler))
+	if err != nil {
+		t.Fatal(err)
+	}
+	ctx, stop := context.WithCancel(t.Context())
+	done := make(chan error, 1)
+	go func() { done <- n.Run(ctx) }()
+	addr := await(t, n.ready, "ready sender").String()
+	if q := await(t, p.asked, "watch"); !strings.Contains(q, "from=1") {
+		t.Errorf("asked %q", q)
+	}
+	p.set(func() { p.down = true })
+	await(t, p.asked, "watch after a failed call")
+	both := instances(old, fresh)
+	both[0].Lifecycle = "draining"
+	p.set(func() { p.down, p.list = false, List{Generation: 2, Instances: both} })
+	for q := ""; !strings.Contains(q, "from=2"); { // the news has been read
+		q = await(t, p.asked, "watch from the new list")
+	}
+	c := dial(t, addr)
+	for i := range 4 {
+		c.put(fmt.Sprint("m-", i), "safe", "+OK")
+		await(t, fresh.calls, "call").reply(200)
+	}
+	old.none(t)
+	stop()
+	if err := await(t, done, "end of the sender"); err != nil {
+		t.Error(err)
+	}
+}
