Heed a wait that an answer tells with any outcome

The answer to a bulk call may take messages on and tell a wait all the same, and that wait binds like one told with a refusal. The module heeded it only with a refusal.

--- a/logic/logic.go
+++ b/logic/logic.go
@@ -712,6 +712,9 @@
 	if r.Outcome != Full && r.Outcome != RefusedConn && r.Outcome != Moot {
 		m.mayRun = true
 	}
+	if r.Wait > 0 { // it binds with any outcome: the answer to a batch may tell one and have taken some on
+		e.lane.until = max(e.lane.until, s.now+r.Wait)
+	}
 	if m.line != nil && (r.Outcome == Overdue || r.Outcome == Severed || r.Outcome == Recalled) {
 		m.line.quiet, m.line.by = max(m.line.quiet, s.now+s.set.KeyQuiet), m
 	}
@@ -732,9 +735,6 @@
 			s.creep(e.lane)
 		}
 	case Full:
-		if r.Wait > 0 {
-			e.lane.until = max(e.lane.until, s.now+r.Wait)
-		}
 		if lastOfCall { // a batch is one call: one refusal
 			s.full(e, r.Wait)
 		}
--- a/logic/outage_test.go
+++ b/logic/outage_test.go
@@ -105,3 +105,18 @@
 		}
 	}
 }
+
+// The answer to a batch may take messages on and tell a wait all the same.
+func TestWaitToldWithADelivery(t *testing.T) {
+	r := newRig(t, base())
+	r.step(0, list(2))
+	c := only[CallOut](r.step(1, r.call(0)))[0]
+	done := answer(c.ID, c.Endpoint, 0, Completed)
+	done.Wait = sec(1.5)
+	if n := len(only[CallOut](r.step(1.1, done, r.call(0)))); n != 0 {
+		t.Errorf("%d calls during a wait", n)
+	}
+	if n := len(only[CallOut](r.step(2.7, Due{}))); n != 1 {
+		t.Errorf("%d calls after the wait, want 1", n)
+	}
+}
--- a/logic/types.go
+++ b/logic/types.go
@@ -207,7 +207,7 @@
 	Attempt  int
 	Outcome  Outcome
 	Took     Micros
-	Wait     Micros // Full: the wait that was told; 0 if none
+	Wait     Micros // the wait that was told, with any outcome; 0 if none
 	Load     []float64
 }
 
