Add the operators' address, the figures and the drain

PING, ready, the readers of clients and SIGTERM ask one state. The operators' listener has places of its own and reads atomics, not the loop. Half-read requests keep their time when connections part.

--- a/internal/node/bulk.go
+++ b/internal/node/bulk.go
@@ -159,6 +159,7 @@
 		b.settleAll(sent, result{outcome: logic.Moot})
 		return
 	}
+	first.carries = len(sent)
 	var body bytes.Buffer
 	r := c.exchange(ctx, &first, conn, deadline, &body)
 	if r.outcome != logic.Completed {
--- a/internal/node/calls.go
+++ b/internal/node/calls.go
@@ -39,6 +39,7 @@
 	msg     *Message
 	request *http.Request
 	state   *atomic.Int32
+	carries int // messages
 }
 
 // The states of a call. It goes from the first to one of the others, once.
@@ -80,6 +81,7 @@
 	idleTime    time.Duration
 	perEndpoint int
 	most        shares
+	relayed     *atomic.Int64 // messages written whole
 	mu          sync.Mutex
 	idle        map[logic.EndpointID][]*idleConn
 	count       int       // idle connections
@@ -87,9 +89,9 @@
 	brokeAt     time.Time // when a kept connection last broke under a call
 }
 
-func newCaller(connectTime, idleTime time.Duration, perEndpoint int, most shares) *caller {
+func newCaller(connectTime, idleTime time.Duration, perEndpoint int, most shares, relayed *atomic.Int64) *caller {
 	return &caller{dialer: net.Dialer{Timeout: connectTime}, linger: lingerTime, settle: settleTime, idleTime: idleTime,
-		perEndpoint: max(perEndpoint, 1), most: most, idle: map[logic.EndpointID][]*idleConn{}}
+		perEndpoint: max(perEndpoint, 1), most: most, relayed: relayed, idle: map[logic.EndpointID][]*idleConn{}}
 }
 
 // do makes a call. When ctx is cancelled the call is called off.
@@ -133,6 +135,7 @@
 		c.drop(conn)
 		return result{outcome: logic.RefusedConn} // its last byte was not written
 	}
+	c.relayed.Add(int64(in.carries))
 	conn.limit.N = maxAnswer
 	r, keep := readWhole(conn.r, limit, body)
 	r.idle = idle
--- a/internal/node/clients.go
+++ b/internal/node/clients.go
@@ -1,7 +1,6 @@
 package node
 
 import (
-	"context"
 	"errors"
 	"log/slog"
 	"net"
@@ -35,7 +34,9 @@
 	large    chan struct{} // a place for each large request that is not answered
 	mu       sync.Mutex
 	sessions map[*session]struct{}
-	closing  bool
+	phase    phase
+	parting  bool        // a connection ends when no request is open on it
+	part     *time.Timer // starts that
 	wg       sync.WaitGroup
 }
 
@@ -44,8 +45,11 @@
 	if memory <= 0 {
 		memory = defaultMemory
 	}
-	return &clients{cfg: cfg, log: log, events: events, most: shareOut(cfg).clients, sessions: map[*session]struct{}{},
+	c := &clients{cfg: cfg, log: log, events: events, most: shareOut(cfg).clients, sessions: map[*session]struct{}{},
 		large: make(chan struct{}, max(int(memory*(1<<20)/largeShare/largeRequest), 8))}
+	c.part = time.AfterFunc(time.Hour, c.startParting)
+	c.part.Stop()
+	return c
 }
 
 // serve accepts connections until the listener is closed.
@@ -62,7 +66,7 @@
 			}
 			continue
 		}
-		s := &session{c: c, conn: conn, opened: time.Now()}
+		s := &session{c: c, conn: conn, opened: time.Now(), fresh: true}
 		s.since = s.opened
 		if !c.admit(s) {
 			conn.Close()
@@ -82,7 +86,7 @@
 func (c *clients) admit(s *session) bool {
 	for {
 		c.mu.Lock()
-		if c.closing {
+		if c.phase == stopping && c.parting {
 			c.mu.Unlock()
 			return false
 		}
@@ -126,33 +130,6 @@
 	delete(c.sessions, s)
 }
 
-// shutdown closes each connection once no request is under way on it, and returns
-// when all are closed or ctx is over.
-func (c *clients) shutdown(ctx context.Context) {
-	c.mu.Lock()
-	c.closing = true
-	for s := range c.sessions {
-		at := time.Now()
-		if s.open > 0 { // it may have come in part
-			at = at.Add(lastRequest)
-		}
-		s.conn.SetReadDeadline(at) // wakes the reader, which looks for a request that has begun to come
-	}
-	c.mu.Unlock()
-	done := make(chan struct{})
-	go func() { c.wg.Wait(); close(done) }()
-	select {
-	case <-done:
-	case <-ctx.Done():
-	}
-}
-
-func (c *clients) isClosing() bool {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	return c.closing
-}
-
 // peek looks at a connection without reading or waiting: whether the peer has it
 // open still, and whether something has come.
 func peek(conn net.Conn) (alive, data bool) {
--- a/internal/node/config.go
+++ b/internal/node/config.go
@@ -26,6 +26,7 @@
 type Config struct {
 	Name      string
 	Listen    string
+	Admin     string // where operators call; empty if nowhere
 	Discovery string
 	StateDir  string
 	Seed      uint64
@@ -51,7 +52,8 @@
 		return nil, fmt.Errorf("config %s: %w", path, err)
 	}
 	cfg.StateDir = os.Getenv("BALANCER_STATE")
-	for name, field := range map[string]*string{"BALANCER_NAME": &cfg.Name, "BALANCER_LISTEN": &cfg.Listen} {
+	for name, field := range map[string]*string{"BALANCER_NAME": &cfg.Name, "BALANCER_LISTEN": &cfg.Listen,
+		"BALANCER_ADMIN_ADDR": &cfg.Admin} {
 		if v := os.Getenv(name); v != "" {
 			*field = v
 		}
@@ -73,6 +75,7 @@
 	var in struct {
 		Name      string          `json:"name"`
 		Listen    string          `json:"listen"`
+		Admin     string          `json:"admin_addr"`
 		Discovery string          `json:"discovery"`
 		Seed      string          `json:"seed"`
 		Limits    Limits          `json:"limits"`
@@ -86,7 +89,7 @@
 	if err != nil {
 		return nil, fmt.Errorf("settings: %w", err)
 	}
-	cfg := &Config{Name: in.Name, Listen: in.Listen, Discovery: in.Discovery, Limits: in.Limits, Known: in.Known,
+	cfg := &Config{Name: in.Name, Listen: in.Listen, Admin: in.Admin, Discovery: in.Discovery, Limits: in.Limits, Known: in.Known,
 		Deploy: deploy, Classes: map[string]int{}, Tenants: map[string]int{}}
 	if in.Seed != "" {
 		if cfg.Seed, err = strconv.ParseUint(in.Seed, 16, 64); err != nil {
--- a/internal/node/discovery.go
+++ b/internal/node/discovery.go
@@ -58,6 +58,8 @@
 	eps   map[logic.EndpointID]target
 	dests map[int64]int // how many of eps a destination has
 	last  logic.EndpointID
+
+	listed int // of eps, those on the list
 }
 
 // target is where an endpoint can be reached.
@@ -151,6 +153,12 @@
 		d.eps[id] = to
 		rows = append(rows, row)
 	}
+	d.listed = 0
+	for _, to := range d.eps {
+		if to.gone.IsZero() {
+			d.listed++
+		}
+	}
 	return rows
 }
 
--- /dev/null
+++ b/internal/node/drain.go
@@ -0,0 +1,101 @@
+package node
+
+import (
+	"context"
+	"time"
+)
+
+const (
+	acceptOn  = 500 * time.Millisecond // after the first no, clients are served as before for so long
+	freshTime = time.Second            // then, for the first request on a new connection to begin
+)
+
+// phase is what a sender does about its clients. PING, the operators' ready, the
+// readers of clients and the shutdown all ask this one state.
+type phase int
+
+const (
+	starting phase = iota // not served yet
+	serving
+	draining // sent away, until resume
+	stopping // sent away for good
+)
+
+func (p phase) String() string { return [...]string{"starting", "serving", "draining", "stopping"}[p] }
+
+func (c *clients) now() phase {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.phase
+}
+
+// turn goes over to p, unless the sender stops or p would bring it back from its start, and
+// says what holds from here on. Clients are sent away by degrees: PING says no from now on, and
+// connections part once those that the front still sends have come.
+func (c *clients) turn(p phase) phase {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.phase == p || c.phase == stopping || c.phase == starting && p == draining {
+		return c.phase
+	}
+	away := c.phase == draining // the time of grace began then
+	c.phase = p
+	switch {
+	case p == serving:
+		c.parting = false
+		c.part.Stop()
+	case !away:
+		c.part.Reset(acceptOn)
+	}
+	return p
+}
+
+// startParting wakes the readers: from here on a connection ends when no request is open on it.
+func (c *clients) startParting() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.phase == serving { // resumed in the meantime
+		return
+	}
+	c.parting = true
+	for s := range c.sessions {
+		if !s.reading { // what has come in part is read to its end
+			s.conn.SetReadDeadline(s.idleBy(time.Now()))
+		}
+	}
+}
+
+// idleBy is until when a connection may stay without a request, under the lock of clients.
+func (s *session) idleBy(now time.Time) time.Time {
+	wait := idleClient
+	if s.fresh {
+		wait = firstRequest
+	}
+	if s.c.parting {
+		if !s.fresh {
+			return now
+		}
+		wait = freshTime
+	}
+	if s.fresh {
+		return s.opened.Add(wait)
+	}
+	return now.Add(wait)
+}
+
+// isParting says whether connections without an open request end.
+func (c *clients) isParting() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.parting
+}
+
+// gone waits until no client is left or ctx is over. The listener must be closed.
+func (c *clients) gone(ctx context.Context) {
+	done := make(chan struct{})
+	go func() { c.wg.Wait(); close(done) }()
+	select {
+	case <-done:
+	case <-ctx.Done():
+	}
+}
--- a/internal/node/limits.go
+++ b/internal/node/limits.go
@@ -4,7 +4,7 @@
 // those that another needs.
 
 const (
-	otherSockets   = 20 // standard streams, listener, poller, journal, discovery, notices
+	otherSockets   = 20 + adminPlaces + 2 // standard streams, listeners, poller, journal, discovery, notices; operators
 	defaultSockets = 1024
 	lingering      = 8 // calls that are given up and not closed yet, and probes
 )
--- a/internal/node/loop.go
+++ b/internal/node/loop.go
@@ -14,7 +14,6 @@
 )
 
 const (
-	acceptOn   = 500 * time.Millisecond  // after SIGTERM, clients are served on for so long
 	stopSends  = 3200 * time.Millisecond // what is sent after SIGTERM must end by then
 	stopAll    = 3400 * time.Millisecond // and the process must be gone soon after this
 	sweepEvery = time.Second
@@ -59,6 +58,8 @@
 	disc    *discovery
 	notices *notices
 	clients *clients
+	admin   *admin
+	figures *figures
 	events  chan any
 	ready   chan net.Addr // gets the address once clients are served
 	reload  <-chan os.Signal
@@ -89,12 +90,14 @@
 	if err != nil {
 		return nil, err
 	}
-	n := &Node{cfg: cfg, log: log, journal: journal, sender: sender, dir: newDirectory(cfg),
-		caller: newCaller(span(cfg.Deploy.ConnectTimeout), span(set.ConnIdle), set.Slots, shareOut(cfg)),
+	figures := newFigures(cfg)
+	n := &Node{cfg: cfg, log: log, journal: journal, sender: sender, dir: newDirectory(cfg), figures: figures,
+		caller: newCaller(span(cfg.Deploy.ConnectTimeout), span(set.ConnIdle), set.Slots, shareOut(cfg), &figures.relayed),
 		events: make(chan any, eventRoom), ready: make(chan net.Addr, 1), start: time.Now(), due: time.NewTimer(time.Hour), held: map[string]*held{}, recent: map[string]time.Time{}}
 	n.disc = newDiscovery(cfg.Discovery, log, n.events)
 	n.notices = newNotices(cfg.Discovery, log, n.events)
 	n.clients = newClients(cfg, log, n.events)
+	n.admin = newAdmin(log, n.clients, figures)
 	return n, nil
 }
 
@@ -108,6 +111,15 @@
 	work, cancel := context.WithCancel(context.Background())
 	defer cancel()
 	defer n.journal.Close()
+	if n.cfg.Admin != "" {
+		ln, err := net.Listen("tcp", n.cfg.Admin)
+		if err != nil {
+			return fmt.Errorf("listen for operators: %w", err)
+		}
+		served := make(chan struct{})
+		go func() { n.admin.serve(work, ln); close(served) }()
+		defer func() { cancel(); <-served }()
+	}
 	n.resume()
 	n.step(work) // what the journal holds comes first: its ends are due
 	ln, err := net.Listen("tcp", n.cfg.Listen)
@@ -115,6 +127,7 @@
 		return fmt.Errorf("listen: %w", err)
 	}
 	go n.notices.run(work)
+	n.clients.turn(serving)
 	go n.clients.serve(ln)
 	go n.reloads(work)
 	if !n.cfg.Deploy.Settings.OnRequest {
@@ -131,12 +144,13 @@
 			return
 		}
 		at := time.Now()
+		n.clients.turn(stopping)
 		n.events <- closingEvent{stopSends}
 		time.Sleep(acceptOn)
 		ln.Close()
 		grace, end := context.WithDeadline(work, at.Add(stopAll))
 		defer end()
-		n.clients.shutdown(grace)
+		n.clients.gone(grace)
 		close(served)
 		<-grace.Done()
 		close(stopped)
@@ -267,17 +281,9 @@
 		ev.answer <- answerOK
 		return
 	}
-	if !n.dir.serves(ev.msg.Dest) {
-		if n.disc.heard {
-			ev.answer <- answerUnknown
-		} else { // nobody has told yet what there is
-			ev.answer <- busy(logic.Second)
-		}
-		return
-	}
-	most := n.cfg.Deploy.Settings.MaxOpen
-	if most > 0 && n.open >= most || !n.journal.Room(len(ev.msg.Body)) {
-		ev.answer <- busy(0)
+	if answer := n.door(&ev.msg); answer != "" {
+		n.figures.told(ev.msg.Class, answer)
+		ev.answer <- answer
 		return
 	}
 	m := ev.msg
@@ -287,6 +293,20 @@
 	n.next = append(n.next, n.callOf(&m, time.Now().UnixMicro()))
 }
 
+// door is the answer to a message that is not let in; empty for one that is.
+func (n *Node) door(m *Message) string {
+	most := n.cfg.Deploy.Settings.MaxOpen
+	switch {
+	case !n.dir.serves(m.Dest) && n.disc.heard:
+		return answerUnknown
+	case !n.dir.serves(m.Dest): // nobody has told yet what there is
+		return busy(logic.Second)
+	case most > 0 && n.open >= most || !n.journal.Room(len(m.Body)):
+		return busy(0)
+	}
+	return ""
+}
+
 // waits says whether the message came since the last step.
 func (n *Node) waits(id string) bool {
 	for _, p := range n.puts {
@@ -379,6 +399,9 @@
 		if late := time.Since(h.trail.came) > span(n.cfg.Deploy.Settings.Classes[n.cfg.Classes[h.msg.Class]].Aim); late || r.over {
 			n.badEnd(h, map[bool]string{true: "over", false: "late"}[r.over])
 		}
+		if r.outcome == logic.Completed {
+			n.figures.fulfilled(h.msg.Class)
+		}
 		n.finish(ev.call.id, h)
 	default:
 		n.records = append(n.records, record{Op: opOutcome, ID: ev.call.id, MayRun: mayHaveRun(r.outcome)})
@@ -428,8 +451,7 @@
 	actions := n.sender.Step(micros(time.Since(n.start)), events)
 	answers := n.answers(actions)
 	for i, p := range n.puts {
-		again := slices.ContainsFunc(n.puts[:i], func(x putEvent) bool { return x.msg.ID == p.msg.ID })
-		if answers[p.msg.ID] == "" && !again {
+		if answers[p.msg.ID] == "" && !n.repeats(i) {
 			m := p.msg
 			n.records = append(n.records, record{Op: opAccept, Entry: &Entry{Message: m}})
 		}
@@ -451,23 +473,40 @@
 	if err != nil {
 		n.log.Error("journal", "err", err)
 	}
-	for _, p := range n.puts {
-		switch answer := answers[p.msg.ID]; {
+	for i, p := range n.puts {
+		answer := answers[p.msg.ID]
+		switch {
 		case answer != "":
-			p.answer <- answer
 		case err != nil: // not written, so not taken on
-			p.answer <- busy(0)
+			answer = busy(0)
 			n.drop(p.msg.ID)
 			n.next = append(n.next, logic.ClientGone{ID: p.msg.ID})
 		default:
-			p.answer <- answerOK
+			answer = answerOK
 		}
+		if !n.repeats(i) {
+			n.figures.told(p.msg.Class, answer)
+		}
+		p.answer <- answer
 	}
 	n.puts = nil
 	for _, a := range actions {
 		n.act(work, a, answers, err == nil)
 	}
 	n.launch(work)
+	n.show()
+}
+
+// repeats says whether the message of a put stands earlier among the puts of the step.
+func (n *Node) repeats(i int) bool {
+	return slices.ContainsFunc(n.puts[:i], func(x putEvent) bool { return x.msg.ID == n.puts[i].msg.ID })
+}
+
+// show brings the operators' figures up to date.
+func (n *Node) show() {
+	n.figures.open.Store(int64(n.open))
+	n.figures.entries.Store(int64(n.dir.listed))
+	n.figures.avoided.Store(int64(n.sender.OutOfRotation()))
 }
 
 // answers finds the messages that the module ends in the step in which they came:
@@ -528,6 +567,7 @@
 			return
 		}
 		if h := n.held[x.ID]; h != nil && !h.over {
+			n.figures.told(h.msg.Class, x.State)
 			n.finish(x.ID, h)
 			n.notices.add(x)
 		}
@@ -556,7 +596,7 @@
 	h.tries++
 	h.trail.sent(a.Endpoint)
 	to := n.dir.eps[a.Endpoint]
-	in := &call{id: a.ID, attempt: attempt, ep: a.Endpoint, addr: to.addr, giveUp: span(a.GiveUp), msg: h.msg, state: new(atomic.Int32)}
+	in := &call{id: a.ID, attempt: attempt, ep: a.Endpoint, addr: to.addr, giveUp: span(a.GiveUp), msg: h.msg, state: new(atomic.Int32), carries: 1}
 	c := n.cfg.Deploy.Settings.Classes[n.cfg.Classes[h.msg.Class]]
 	in.fragile = c.Effect == logic.Unsafe
 	if e := n.journal.Entry(a.ID); e != nil && e.MayRun && c.Effect == logic.Keyed { // a repeat: by the end of the window it must be written
--- a/internal/node/session.go
+++ b/internal/node/session.go
@@ -17,7 +17,7 @@
 	requestTime  = 2 * time.Second         // for a later one, once it has begun
 	idleClient   = 4 * time.Second         // between requests
 	answerTime   = 2 * time.Second
-	lastRequest  = 200 * time.Millisecond // at a shutdown, for a request that has begun to come
+	lastRequest  = 200 * time.Millisecond // least time for a request that has begun to come
 	maxErrors    = 16                     // errors in a row after which a connection is closed
 	errorPause   = 5 * time.Millisecond   // before the next request is read, for each error in a row
 	lingerClient = 500 * time.Millisecond // after an error, for the client to read it
@@ -39,9 +39,11 @@
 	errors atomic.Int32 // in a row
 
 	// Under the lock of clients.
-	open  int       // requests that have begun to come and are not answered
-	since time.Time // when the last one was answered
-	gone  bool      // closed to make room
+	open    int       // requests that have begun to come and are not answered
+	reading bool      // one of them has not come whole
+	fresh   bool      // none has begun to come
+	since   time.Time // when the last one was answered
+	gone    bool      // closed to make room
 }
 
 // answer is the answer to a request: at once, or as soon as it is there.
@@ -69,7 +71,7 @@
 func (s *session) read(r *bufio.Reader, queue chan<- answer) bool {
 	first := true
 	for {
-		if !s.await(r, first) {
+		if !s.await(r) {
 			return false
 		}
 		if n := s.errors.Load(); n >= maxErrors {
@@ -78,13 +80,14 @@
 		} else if n > 0 {
 			time.Sleep(time.Duration(n) * errorPause)
 		}
-		s.deadline(time.Until(s.requestBy(first)), lastRequest)
+		s.conn.SetReadDeadline(s.requestBy(first))
 		large := false
 		args, err := readCommand(r, func() error {
 			err := s.takeLarge()
 			large = err == nil
 			return err
 		})
+		s.whole()
 		switch {
 		case err == nil:
 			a := s.c.answer(args)
@@ -131,31 +134,19 @@
 	}
 }
 
-// deadline sets how long the reader waits: so long while serving, or so long at a shutdown.
-func (s *session) deadline(serving, closing time.Duration) {
-	s.c.mu.Lock()
-	defer s.c.mu.Unlock()
-	if s.c.closing {
-		serving = min(serving, closing)
-	}
-	s.conn.SetReadDeadline(time.Now().Add(serving))
-}
-
 // await waits for the first byte of a request; false ends the connection.
-func (s *session) await(r *bufio.Reader, first bool) bool {
+func (s *session) await(r *bufio.Reader) bool {
 	if r.Buffered() == 0 {
-		wait := idleClient
-		if first {
-			wait = firstRequest
-		}
-		s.deadline(wait, 0)
+		s.c.mu.Lock()
+		s.conn.SetReadDeadline(s.idleBy(time.Now())) // under the lock: startParting may be about to set its own
+		s.c.mu.Unlock()
 		_, err := r.Peek(1)
-		if errors.Is(err, os.ErrDeadlineExceeded) && s.c.isClosing() {
+		if errors.Is(err, os.ErrDeadlineExceeded) && s.c.isParting() {
 			// A request may have come just before: it is answered, for its client counts on that.
 			if alive, data := peek(s.conn); !alive || !data {
 				return false
 			}
-			s.deadline(lastRequest, lastRequest)
+			s.conn.SetReadDeadline(time.Now().Add(lastRequest))
 			_, err = r.Peek(1)
 		}
 		if err != nil {
@@ -165,9 +156,17 @@
 	s.c.mu.Lock()
 	defer s.c.mu.Unlock()
 	s.open++
+	s.reading, s.fresh = true, false
 	return !s.gone
 }
 
+// whole notes that the request at hand has come to its end, good or bad.
+func (s *session) whole() {
+	s.c.mu.Lock()
+	defer s.c.mu.Unlock()
+	s.reading = false
+}
+
 // write sends the answers in the order of their requests, those that are ready together.
 func (s *session) write(queue <-chan answer) {
 	w := bufio.NewWriterSize(s.conn, 512)
@@ -225,7 +224,7 @@
 	if t, ok := s.conn.(*net.TCPConn); ok {
 		t.CloseWrite()
 	}
-	s.deadline(lingerClient, lastRequest)
+	s.conn.SetReadDeadline(time.Now().Add(lingerClient))
 	io.Copy(io.Discard, io.LimitReader(s.conn, lingerBytes))
 }
 
@@ -233,6 +232,9 @@
 func (c *clients) answer(args [][]byte) answer {
 	switch cmd := strings.ToUpper(string(args[0])); cmd {
 	case "PING":
+		if p := c.now(); p != serving {
+			return answer{line: "-ERR " + p.String() + "\r\n"}
+		}
 		switch {
 		case len(args) == 1:
 			return answer{line: "+PONG\r\n"}
--- a/logic/state.go
+++ b/logic/state.go
@@ -394,6 +394,18 @@
 	}
 }
 
+// OutOfRotation counts the listed endpoints that get no ordinary traffic now.
+func (s *Sender) OutOfRotation() (n int) {
+	for _, d := range s.order {
+		for _, e := range d.eps {
+			if e.suspect || e.state != Ready {
+				n++
+			}
+		}
+	}
+	return n
+}
+
 // crowd is the share of the hold that is taken.
 func (s *Sender) crowd() float64 {
 	if s.set.MaxOpen == 0 {
