Replace the process under a lock, in one acknowledged step at SIGTERM

The old process relays its clients and reports its calls. Tests run real processes: calls in flight, relayed messages, waits, kills on both sides, torn frames, SIGHUP, a second upgrade. One of them found that a sender with the list on request did not follow it after a handover; whether the owner was following goes over now.

--- a/cmd/cometrack/main.go
+++ b/cmd/cometrack/main.go
@@ -9,7 +9,6 @@
 	"os"
 	"os/signal"
 	"runtime"
-	"runtime/debug"
 	"syscall"
 
 	"ravenmount/internal/node"
@@ -35,9 +34,7 @@
 	if c := cfg.Limits.Cores; c > 0 {
 		runtime.GOMAXPROCS(max(int(math.Ceil(c)), 1))
 	}
-	if m := cfg.Limits.MemoryMB; m > 0 {
-		debug.SetMemoryLimit(int64(m * 0.7 * (1 << 20)))
-	}
+	cfg.Limits.BindMemory()
 	n, err := node.New(cfg, log)
 	if err != nil {
 		return err
--- a/internal/node/admin.go
+++ b/internal/node/admin.go
@@ -34,7 +34,7 @@
 func newAdmin(log *slog.Logger, clients *clients, figures *figures) *admin {
 	turn := func(p phase) func() string {
 		return func() string {
-			if got := clients.turn(p); got != p {
+			if got := clients.operate(p); got != p {
 				return "-ERR " + got.String()
 			}
 			log.Info("operator", "state", p.String())
@@ -43,7 +43,7 @@
 	}
 	return &admin{log: log, calls: map[string]func() string{
 		"ready": func() string {
-			if p := clients.now(); p != serving {
+			if p := clients.now(); p != serving && p != waiting {
 				return "-ERR " + p.String()
 			}
 			return "+OK"
--- a/internal/node/calls.go
+++ b/internal/node/calls.go
@@ -370,6 +370,23 @@
 	delete(c.idle, ep)
 }
 
+// releaseAll closes all kept connections.
+func (c *caller) releaseAll() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for c.closeOldest() {
+	}
+}
+
+// setMost bounds the connections anew; the oldest kept ones above the bound go.
+func (c *caller) setMost(most shares) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.most = most
+	for (c.open > most.calls || c.count > most.idle) && c.closeOldest() {
+	}
+}
+
 // sweep closes kept connections that are no good any more.
 func (c *caller) sweep() {
 	c.mu.Lock()
--- a/internal/node/clients.go
+++ b/internal/node/clients.go
@@ -35,8 +35,9 @@
 	mu       sync.Mutex
 	sessions map[*session]struct{}
 	phase    phase
-	parting  bool        // a connection ends when no request is open on it
-	part     *time.Timer // starts that
+	parting  bool          // a connection ends when no request is open on it
+	part     *time.Timer   // starts that
+	accepted chan struct{} // closed when no more are accepted
 	wg       sync.WaitGroup
 }
 
@@ -46,7 +47,8 @@
 		memory = defaultMemory
 	}
 	c := &clients{cfg: cfg, log: log, events: events, most: shareOut(cfg).clients, sessions: map[*session]struct{}{},
-		large: make(chan struct{}, max(int(memory*(1<<20)/largeShare/largeRequest), 8))}
+		accepted: make(chan struct{}),
+		large:    make(chan struct{}, max(int(memory*(1<<20)/largeShare/largeRequest), 8))}
 	c.part = time.AfterFunc(time.Hour, c.startParting)
 	c.part.Stop()
 	return c
@@ -54,6 +56,7 @@
 
 // serve accepts connections until the listener is closed.
 func (c *clients) serve(ln net.Listener) {
+	defer close(c.accepted)
 	for {
 		conn, err := ln.Accept()
 		if err != nil {
@@ -103,6 +106,16 @@
 	}
 }
 
+// setMost bounds the connections anew; the idlest above the bound go.
+func (c *clients) setMost(most int) {
+	c.mu.Lock()
+	c.most = most
+	over := len(c.sessions) - most
+	c.mu.Unlock()
+	for ; over > 0 && c.evict(); over-- {
+	}
+}
+
 // evict closes the idlest connection; false if a request is under way on each.
 func (c *clients) evict() bool {
 	c.mu.Lock()
--- a/internal/node/discovery.go
+++ b/internal/node/discovery.go
@@ -183,13 +183,18 @@
 		MaxIdleConnsPerHost: 1, MaxConnsPerHost: 4, IdleConnTimeout: 30 * time.Second}}}
 }
 
-// move ends the watch and turns to another address. The list there is asked for
-// whole, since its generations need not follow on from those of the old one.
-func (d *discovery) move(addr string) {
+// halt ends the watch.
+func (d *discovery) halt() {
 	if d.stop != nil {
 		d.stop()
 	}
 	d.client.CloseIdleConnections()
+}
+
+// move ends the watch and turns to another address. The list there is asked for
+// whole, since its generations need not follow on from those of the old one.
+func (d *discovery) move(addr string) {
+	d.halt()
 	d.addr, d.started, d.watching = addr, false, false
 	d.epoch++
 }
--- a/internal/node/drain.go
+++ b/internal/node/drain.go
@@ -16,12 +16,16 @@
 
 const (
 	starting phase = iota // not served yet
+	waiting               // the same, but another process is about to hand over
 	serving
 	draining // sent away, until resume
 	stopping // sent away for good
+	replaced // another process serves: connections go over to it
 )
 
-func (p phase) String() string { return [...]string{"starting", "serving", "draining", "stopping"}[p] }
+func (p phase) String() string {
+	return [...]string{"starting", "waiting", "serving", "draining", "stopping", "replaced"}[p]
+}
 
 func (c *clients) now() phase {
 	c.mu.Lock()
@@ -29,34 +33,52 @@
 	return c.phase
 }
 
-// turn goes over to p, unless the sender stops or p would bring it back from its start, and
-// says what holds from here on. Clients are sent away by degrees: PING says no from now on, and
-// connections part once those that the front still sends have come.
-func (c *clients) turn(p phase) phase {
+// operate goes over to p at an operator's word, and says what holds from here on: only a
+// sender that serves can be drained, and brought back.
+func (c *clients) operate(p phase) phase {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.phase == p || c.phase == stopping || c.phase == starting && p == draining {
-		return c.phase
+	if c.phase == serving || c.phase == draining {
+		c.turnTo(p)
 	}
-	away := c.phase == draining // the time of grace began then
+	return c.phase
+}
+
+// turn goes over to p. What stops is not brought back.
+func (c *clients) turn(p phase) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.phase != stopping && c.phase != replaced {
+		c.turnTo(p)
+	}
+}
+
+// turnTo is turn, under the lock. Clients are sent away by degrees: PING says no from now on, and
+// connections part once those that the front still sends have come.
+func (c *clients) turnTo(p phase) {
+	was := c.phase
 	c.phase = p
 	switch {
 	case p == serving:
 		c.parting = false
 		c.part.Stop()
-	case !away:
+	case p == replaced:
+		c.partNow()
+	case (p == draining || p == stopping) && was != draining: // else the time of grace began before
 		c.part.Reset(acceptOn)
 	}
-	return p
 }
 
 // startParting wakes the readers: from here on a connection ends when no request is open on it.
 func (c *clients) startParting() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.phase == serving { // resumed in the meantime
-		return
+	if c.phase != serving { // not resumed in the meantime
+		c.partNow()
 	}
+}
+
+func (c *clients) partNow() {
 	c.parting = true
 	for s := range c.sessions {
 		if !s.reading { // what has come in part is read to its end
@@ -93,7 +115,7 @@
 // gone waits until no client is left or ctx is over. The listener must be closed.
 func (c *clients) gone(ctx context.Context) {
 	done := make(chan struct{})
-	go func() { c.wg.Wait(); close(done) }()
+	go func() { <-c.accepted; c.wg.Wait(); close(done) }()
 	select {
 	case <-done:
 	case <-ctx.Done():
--- a/internal/node/limits.go
+++ b/internal/node/limits.go
@@ -1,5 +1,7 @@
 package node
 
+import "runtime/debug"
+
 // The process's descriptors are shared out at the start, so that no side can take
 // those that another needs.
 
@@ -9,6 +11,26 @@
 	lingering      = 8 // calls that are given up and not closed yet, and probes
 )
 
+// memoryPart is the part of the memory that the garbage collector may let the heap fill.
+const memoryPart = 0.7
+
+// BindMemory tells the garbage collector of the limit on memory.
+func (l Limits) BindMemory() {
+	if l.MemoryMB > 0 {
+		debug.SetMemoryLimit(int64(l.MemoryMB * memoryPart * (1 << 20)))
+	}
+}
+
+// among is what each of several processes of one sender may use.
+func (l Limits) among(processes int) Limits {
+	if l.Sockets <= 0 {
+		l.Sockets = defaultSockets
+	}
+	l.Sockets /= processes
+	l.MemoryMB /= float64(processes)
+	return l
+}
+
 // shares says how many connections each side may hold.
 type shares struct {
 	clients int
--- a/internal/node/loop.go
+++ b/internal/node/loop.go
@@ -30,12 +30,12 @@
 
 // healthEvent is the one outcome of a probe.
 type healthEvent struct {
-	ep      logic.EndpointID
-	outcome logic.Outcome
+	Endpoint logic.EndpointID
+	Outcome  logic.Outcome
 }
 
-// closingEvent starts the shutdown.
-type closingEvent struct{ left time.Duration }
+// closingEvent starts the shutdown, or the handover to another process.
+type closingEvent struct{}
 
 // held is a message that the module has and that is not over.
 type held struct {
@@ -64,6 +64,9 @@
 	ready   chan net.Addr // gets the address once clients are served
 	reload  <-chan os.Signal
 	load    func() (*Config, error)
+	follow  bool         // watch discovery from the start
+	lock    *os.File     // on the state folder; nil while another process owns it
+	ln      net.Listener // clients'
 
 	// What follows belongs to the loop.
 	due     *time.Timer // the module's
@@ -73,31 +76,39 @@
 	open    int                  // of held, those not over
 	recent  map[string]time.Time // ids that were taken on and are over, until their time is up
 	next    []logic.Event        // for the next step
-	closing bool
+	closing bool                 // SIGTERM has come
+	before  *predecessor         // nil if there is none
+	after   *successor           // nil if there is none
 	puts    []putEvent
 	records []record
 	calling []outgoing // calls of the step at hand
 }
 
-// New makes a sender and replays its journal.
+// New makes a sender. It replays the journal, unless another process owns that.
 func New(cfg *Config, log *slog.Logger) (*Node, error) {
 	set := cfg.Deploy.Settings
 	sender, err := logic.New(set, cfg.Seed)
 	if err != nil {
 		return nil, err
 	}
-	journal, err := OpenJournal(cfg.StateDir, int64(cfg.Limits.DiskMB*1e6))
+	lock, err := tryLock(cfg.StateDir)
 	if err != nil {
 		return nil, err
 	}
 	figures := newFigures(cfg)
-	n := &Node{cfg: cfg, log: log, journal: journal, sender: sender, dir: newDirectory(cfg), figures: figures,
+	// The module asks for the list only where it must, and anywhere after a failed call.
+	n := &Node{cfg: cfg, log: log, lock: lock, follow: !set.OnRequest, sender: sender, dir: newDirectory(cfg), figures: figures,
 		caller: newCaller(span(cfg.Deploy.ConnectTimeout), span(set.ConnIdle), set.Slots, shareOut(cfg), &figures.relayed),
 		events: make(chan any, eventRoom), ready: make(chan net.Addr, 1), start: time.Now(), due: time.NewTimer(time.Hour), held: map[string]*held{}, recent: map[string]time.Time{}}
 	n.disc = newDiscovery(cfg.Discovery, log, n.events)
 	n.notices = newNotices(cfg.Discovery, log, n.events)
 	n.clients = newClients(cfg, log, n.events)
 	n.admin = newAdmin(log, n.clients, figures)
+	if lock != nil {
+		if err := n.openJournal(); err != nil {
+			return nil, err
+		}
+	}
 	return n, nil
 }
 
@@ -106,72 +117,144 @@
 	return logic.Micros(d / time.Microsecond)
 }
 
-// Run serves until ctx is cancelled, then shuts down in good order.
+// openJournal replays the journal. The lock must be held.
+func (n *Node) openJournal() (err error) {
+	n.journal, err = OpenJournal(n.cfg.StateDir, int64(n.cfg.Limits.DiskMB*1e6))
+	return err
+}
+
+// Run serves until ctx is cancelled, then shuts down in good order, or hands over to a process that stands by.
 func (n *Node) Run(ctx context.Context) error {
 	work, cancel := context.WithCancel(context.Background())
 	defer cancel()
-	defer n.journal.Close()
 	if n.cfg.Admin != "" {
 		ln, err := net.Listen("tcp", n.cfg.Admin)
 		if err != nil {
 			return fmt.Errorf("listen for operators: %w", err)
 		}
+		n.log.Info("operators", "addr", ln.Addr().String())
 		served := make(chan struct{})
 		go func() { n.admin.serve(work, ln); close(served) }()
 		defer func() { cancel(); <-served }()
 	}
-	n.resume()
+	go n.reloads(work)
+	if err := n.begin(ctx); err != nil {
+		if ctx.Err() != nil { // ended before it owned anything
+			return nil
+		}
+		return err
+	}
+	defer n.lock.Close()
+	defer n.journal.Close()
 	n.step(work) // what the journal holds comes first: its ends are due
-	ln, err := net.Listen("tcp", n.cfg.Listen)
-	if err != nil {
-		return fmt.Errorf("listen: %w", err)
+	var err error
+	if n.ln == nil {
+		if n.ln, err = net.Listen("tcp", n.cfg.Listen); err != nil {
+			return fmt.Errorf("listen: %w", err)
+		}
+	}
+	defer n.ln.Close()
+	if ln, err := listenForSuccessor(n.cfg.StateDir); err == nil {
+		go n.awaitSuccessors(work, ln)
+	} else {
+		n.log.Error("no successor can take over", "err", err)
+	}
+	notify, hush := context.WithCancel(work)
+	defer hush()
+	go n.notices.run(notify)
+	if n.before != nil {
+		go n.before.read(work, n.events)
 	}
-	go n.notices.run(work)
 	n.clients.turn(serving)
-	go n.clients.serve(ln)
-	go n.reloads(work)
-	if !n.cfg.Deploy.Settings.OnRequest {
-		n.disc.watch(work) // the module asks only where it must; after a failed call it does so in any case
+	go n.clients.serve(n.ln)
+	if n.follow {
+		n.disc.watch(work)
 	}
-	n.log.Info("ready", "name", n.cfg.Name, "addr", ln.Addr().String(), "held", len(n.held))
-	n.ready <- ln.Addr()
-	served := make(chan struct{}) // closed when no client is left
-	stopped := make(chan struct{})
+	n.log.Info("ready", "name", n.cfg.Name, "addr", n.ln.Addr().String(), "held", len(n.held))
+	n.ready <- n.ln.Addr()
 	go func() {
 		select {
 		case <-ctx.Done():
+			n.events <- closingEvent{}
 		case <-work.Done():
-			return
 		}
-		at := time.Now()
-		n.clients.turn(stopping)
-		n.events <- closingEvent{stopSends}
-		time.Sleep(acceptOn)
-		ln.Close()
-		grace, end := context.WithDeadline(work, at.Add(stopAll))
+	}()
+	if n.loop(work) {
+		hush()
+		n.retire(work)
+	}
+	return nil
+}
+
+// begin makes this process the owner of the journal and takes up what is owed: from the process before, if that hands
+// over, or else from the journal alone.
+func (n *Node) begin(ctx context.Context) error {
+	if n.journal != nil {
+		n.resume()
+		return nil
+	}
+	st, err := n.claim(ctx)
+	if err != nil {
+		return err
+	}
+	if err := n.openJournal(); err != nil {
+		return err
+	}
+	if n.load != nil { // the file may have been replaced while this process stood by
+		if cfg, err := n.load(); err != nil {
+			n.log.Error("the configuration of the start stands", "err", err)
+		} else if cfg.Discovery != n.disc.addr {
+			n.notices.move(cfg.Discovery)
+			n.disc.move(cfg.Discovery)
+		}
+	}
+	if st != nil {
+		if err = n.adopt(st); err == nil {
+			return nil
+		}
+		n.log.Error("the handover does not fit: the journal alone counts", "err", err)
+		if n.sender, err = logic.New(n.cfg.Deploy.Settings, n.cfg.Seed); err != nil {
+			return err
+		}
+	}
+	n.resume()
+	return nil
+}
+
+// shutDown sends the clients away. The first channel is closed when none is left, the second when the time is up.
+func (n *Node) shutDown(work context.Context) (served, stopped <-chan struct{}) {
+	none, late := make(chan struct{}), make(chan struct{})
+	n.clients.turn(stopping)
+	grace, end := context.WithTimeout(work, stopAll)
+	go func() {
 		defer end()
+		pause(grace, acceptOn)
+		n.ln.Close()
 		n.clients.gone(grace)
-		close(served)
+		close(none)
 		<-grace.Done()
-		close(stopped)
+		close(late)
 	}()
-	return n.loop(work, served, stopped)
+	return none, late
 }
 
 // loop owns the module and all of the state: it takes what has come, lets the
 // module step, writes the journal and acts, at most once a tick.
-func (n *Node) loop(work context.Context, served, stopped <-chan struct{}) error {
+//
+// It returns true when another process goes on.
+func (n *Node) loop(work context.Context) bool {
 	tick := max(span(n.cfg.Deploy.Settings.Tick), time.Millisecond)
 	sweep := time.NewTicker(sweepEvery)
 	defer sweep.Stop()
 	rest := time.NewTimer(0)
 	defer rest.Stop()
 	defer n.due.Stop()
-	quiet := false // shutting down, and no client is left
+	var served, stopped <-chan struct{} // while shutting down
+	quiet := false                      // shutting down, and no client is left
 	for {
 		if quiet && n.open == 0 && len(n.journal.entries) == 0 {
 			n.log.Info("stopped", "owed", 0)
-			return nil
+			return false
 		}
 		select {
 		case ev := <-n.events:
@@ -189,7 +272,7 @@
 		case <-stopped:
 			// What is still out stays in the journal as it is.
 			n.log.Info("stopped", "owed", len(n.journal.entries))
-			return nil
+			return false
 		}
 		for more := true; more; {
 			select {
@@ -203,6 +286,18 @@
 		for len(n.next) > 0 {
 			n.step(work)
 		}
+		if n.closing && stopped == nil {
+			if n.after != nil {
+				err := n.handOver()
+				if err == nil {
+					return true
+				}
+				n.log.Error("the handover failed: this process stays the owner until its end", "err", err)
+			}
+			served, stopped = n.shutDown(work)
+			n.next = append(n.next, logic.Closing{Left: micros(stopSends)})
+			n.step(work)
+		}
 		rest.Reset(tick)
 		<-rest.C
 	}
@@ -251,7 +346,7 @@
 	case replyEvent:
 		n.reply(ev)
 	case healthEvent:
-		n.next = append(n.next, logic.HealthResult{Endpoint: ev.ep, Outcome: ev.outcome})
+		n.next = append(n.next, logic.HealthResult{Endpoint: ev.Endpoint, Outcome: ev.Outcome})
 	case listEvent:
 		n.list(ev)
 	case noticedEvent:
@@ -266,7 +361,10 @@
 		n.moveTo(work, ev.cfg)
 	case closingEvent:
 		n.closing = true
-		n.next = append(n.next, logic.Closing{Left: micros(ev.left)})
+	case remoteEvent:
+		n.remote(ev)
+	case successorEvent:
+		n.standsBy(ev)
 	}
 }
 
--- a/internal/node/process_test.go
+++ b/internal/node/process_test.go
@@ -34,16 +34,26 @@
 
 // process is the real program.
 type process struct {
-	t    *testing.T
-	cmd  *exec.Cmd
-	addr string
-	conf string // its configuration file
-	done chan error
-	said chan string // its log
+	t     *testing.T
+	cmd   *exec.Cmd
+	addr  string
+	admin string // where operators call
+	conf  string // its configuration file
+	done  chan error
+	said  chan string // its log
+	ready chan string // the address of clients, once they are served
 }
 
-// startProcess starts it with what the platform would tell it and waits until it is ready.
+// startProcess starts it and waits until it serves.
 func startProcess(t *testing.T, p *platform, dir string, known List) *process {
+	t.Helper()
+	x := launchProcess(t, p, dir, known)
+	x.addr = await(t, x.ready, "ready program")
+	return x
+}
+
+// launchProcess starts it with what the platform would tell it.
+func launchProcess(t *testing.T, p *platform, dir string, known List) *process {
 	t.Helper()
 	path, err := program()
 	if err != nil {
@@ -54,7 +64,7 @@
 		t.Fatal(err)
 	}
 	cmd := exec.Command(path)
-	cmd.Env = append(os.Environ(), "BALANCER_NAME=n0", "BALANCER_LISTEN=127.0.0.1:0",
+	cmd.Env = append(os.Environ(), "BALANCER_NAME=n0", "BALANCER_LISTEN=127.0.0.1:0", "BALANCER_ADMIN_ADDR=127.0.0.1:0",
 		"BALANCER_DISCOVERY="+strings.TrimPrefix(p.srv.URL, "http://"), "BALANCER_STATE="+dir, "BALANCER_CONFIG="+config)
 	logs, err := cmd.StderrPipe()
 	if err != nil {
@@ -63,21 +73,25 @@
 	if err := cmd.Start(); err != nil {
 		t.Fatal(err)
 	}
-	x := &process{t: t, cmd: cmd, conf: config, done: make(chan error, 1), said: make(chan string, 4096)}
+	x := &process{t: t, cmd: cmd, conf: config, done: make(chan error, 1), said: make(chan string, 4096),
+		ready: make(chan string, 1)}
 	t.Cleanup(func() { cmd.Process.Kill() })
-	addr := make(chan string, 1)
+	admin := make(chan string, 1)
 	go func() {
 		for s := bufio.NewScanner(logs); s.Scan(); {
 			x.said <- s.Text()
-			if _, rest, ok := strings.Cut(s.Text(), "msg=ready "); ok {
-				_, rest, _ = strings.Cut(rest, "addr=")
-				a, _, _ := strings.Cut(rest, " ")
-				addr <- a
+			_, rest, _ := strings.Cut(s.Text(), "addr=")
+			addr, _, _ := strings.Cut(rest, " ")
+			switch {
+			case strings.Contains(s.Text(), "msg=ready "):
+				x.ready <- addr
+			case strings.Contains(s.Text(), "msg=operators "):
+				admin <- addr
 			}
 		}
 		x.done <- cmd.Wait()
 	}()
-	x.addr = await(t, addr, "ready program")
+	x.admin = await(t, admin, "operators' address")
 	return x
 }
 
--- a/internal/node/session.go
+++ b/internal/node/session.go
@@ -232,7 +232,7 @@
 func (c *clients) answer(args [][]byte) answer {
 	switch cmd := strings.ToUpper(string(args[0])); cmd {
 	case "PING":
-		if p := c.now(); p != serving {
+		if p := c.now(); p != serving && p != replaced {
 			return answer{line: "-ERR " + p.String() + "\r\n"}
 		}
 		switch {
--- a/logic/logic.go
+++ b/logic/logic.go
@@ -75,8 +75,9 @@
 	if err := check(&set); err != nil {
 		return nil, err
 	}
-	s := &Sender{set: set, rng: rand.New(rand.NewPCG(seed, 0)), now: math.MinInt64, askAt: never, askGap: askGap,
-		eps: map[EndpointID]*endpoint{}, dests: map[int64]*dest{}, msgs: map[string]*msg{},
+	source := rand.NewPCG(seed, 0)
+	s := &Sender{set: set, source: source, rng: rand.New(source), now: math.MinInt64, askAt: never,
+		askGap: askGap, eps: map[EndpointID]*endpoint{}, dests: map[int64]*dest{}, msgs: map[string]*msg{},
 		keys: map[string]*keyLine{}, turned: map[int]float64{}}
 	if set.OnRequest {
 		s.askAt = math.MinInt64
--- a/logic/rig_test.go
+++ b/logic/rig_test.go
@@ -86,6 +86,8 @@
 	slots    int
 	outage   [2]Micros // all of destination 1 refuses connections
 	knows    bool
+	twin     *Sender // must act as s does
+	each     func()  // before each step
 	coldSent []Micros
 	wellSent []Micros
 	peak     float64
@@ -301,7 +303,14 @@
 func (w *world) run(evs ...Event) {
 	opened := map[EndpointID]*wcall{}
 	count := map[EndpointID]int{}
-	for _, a := range w.s.Step(w.now, evs) {
+	if w.each != nil {
+		w.each()
+	}
+	acts := w.s.Step(w.now, evs)
+	if w.twin != nil {
+		w.sameAs(acts, w.twin.Step(w.now, evs))
+	}
+	for _, a := range acts {
 		w.trace = append(w.trace, fmt.Sprintf("%d %#v", w.now, a))
 		switch a := a.(type) {
 		case CallOut:
--- /dev/null
+++ b/logic/snapshot_test.go
@@ -0,0 +1,90 @@
+package logic
+
+import (
+	"bytes"
+	"fmt"
+	"reflect"
+	"slices"
+	"strings"
+	"testing"
+)
+
+// sameAs checks that a twin does what the Sender does. Timers apart: a twin begins without one.
+func (w *world) sameAs(acts, twin []Action) {
+	w.t.Helper()
+	timer := func(a Action) bool { _, ok := a.(SetTimer); return ok }
+	want, got := slices.DeleteFunc(slices.Clone(acts), timer), slices.DeleteFunc(twin, timer)
+	if !reflect.DeepEqual(append([]Action{}, want...), append([]Action{}, got...)) {
+		w.bad("a restored module does %v, want %v", got, want)
+	}
+}
+
+// renew takes a new twin.
+func (w *world) renew() {
+	w.t.Helper()
+	text, err := w.s.Snapshot()
+	if err != nil {
+		w.t.Fatal(err)
+	}
+	if w.twin, err = Restore(w.set, text); err != nil {
+		w.t.Fatal(err)
+	}
+	again, err := w.twin.Snapshot()
+	if err != nil {
+		w.t.Fatal(err)
+	}
+	if !bytes.Equal(text, again) {
+		w.bad("a snapshot of the restored module differs:\n%s\n%s", text, again)
+	}
+}
+
+// A module that another process takes up goes on as if nothing had happened, whatever is out or due.
+func TestSnapshotGoesOn(t *testing.T) {
+	for name, set := range variants() {
+		t.Run(name, func(t *testing.T) {
+			w := newWorld(t, set, 11)
+			w.each = func() {
+				if w.rnd.IntN(100) == 0 {
+					w.renew()
+				}
+			}
+			w.play()
+			if w.twin == nil || len(w.trace) < 100 {
+				t.Fatalf("%d actions, twin %v", len(w.trace), w.twin)
+			}
+		})
+	}
+}
+
+// What does not fit together is refused, not taken up in part.
+func TestSnapshotThatDoesNotFit(t *testing.T) {
+	r := newRig(t, base())
+	r.step(100, list(2), r.call(0), r.call(2))
+	text, err := r.s.Snapshot()
+	if err != nil {
+		t.Fatal(err)
+	}
+	for name, bad := range map[string]string{
+		"torn":             string(text[:len(text)/2]),
+		"empty":            "{}",
+		"another version":  strings.Replace(string(text), fmt.Sprintf(`"Version":%d`, snapshotVersion), `"Version":99`, 1),
+		"unknown message":  strings.Replace(string(text), `"Message":"m1"`, `"Message":"m9"`, 1),
+		"unknown class":    strings.Replace(string(text), `"Class":2`, `"Class":3`, 1),
+		"unknown endpoint": strings.Replace(string(text), `"Endpoint":1`, `"Endpoint":7`, 1),
+	} {
+		if bad == string(text) {
+			t.Errorf("%s: the text is as it was", name)
+		}
+		if _, err := Restore(base(), []byte(bad)); err == nil {
+			t.Errorf("%s: restored", name)
+		}
+	}
+	other := base()
+	other.Classes = other.Classes[:1]
+	if _, err := Restore(other, text); err == nil {
+		t.Error("restored under other settings")
+	}
+	if _, err := Restore(base(), text); err != nil {
+		t.Error(err)
+	}
+}
--- a/logic/state.go
+++ b/logic/state.go
@@ -127,6 +127,7 @@
 // Sender decides for one sender. Make it with New.
 type Sender struct {
 	set       Settings
+	source    *rand.PCG // of rng
 	rng       *rand.Rand
 	now       Micros
 	step      int
