--- a/logic/logic.go
+++ b/logic/logic.go
@@ -51,6 +51,7 @@
 	reuse       = 5 * Second   // ours: an endpoint called less often than this shares its connections
 	turnAlpha   = 0.05         // ours: weight of the newest call in a kind's share of calls turned away
 	turnShare   = 0.2          // ours: share above which a refused message of mean worth is not tried again
+	turnShy     = 0.01         // ours: share above which many senders keep no idle connection
 	restPart    = 0.1          // ours: least mean part of its time left that a refused message rests
 	dearConn    = 0.04         // ours: price of a connection with each message above which none is given back
 	manySenders = 16           // ours: more than this, one idle connection each, may fill an endpoint
@@ -100,6 +101,7 @@
 	s.endHopeless()
 	s.cutLong()
 	s.dispatch()
+	s.giveBack()
 	s.arm()
 	return s.out
 }
@@ -759,13 +761,9 @@
 	if lastOfCall { // a batch is one call: one sign
 		s.sign(e, r.Outcome)
 	}
-	// Connections of many senders, idle ones counted, fill an endpoint: those that we use rarely are given back,
-	// unless new ones are dear.
 	e.warm = s.now + s.set.ConnIdle
-	if n := len(e.sent); s.many && s.set.ConnPrice < dearConn && e.inflight == 0 &&
-		(n < 2 || s.now-e.sent[n-2] > reuse) {
-		e.warm = s.now
-		s.do(Release{e.id})
+	if s.many && e.inflight == 0 {
+		s.spare = append(s.spare, e)
 	}
 	if r.NoMore || m.over {
 		s.close(m)
@@ -774,6 +772,21 @@
 	s.endIfStuck(m)
 }
 
+// giveBack releases the connections that nothing needs now. Those of many senders, idle ones counted, fill an
+// endpoint: each keeps one, and who comes later is turned away. Where a kind turns calls away none is kept; else
+// only those that we use rarely are given back, unless new ones are dear.
+func (s *Sender) giveBack() {
+	for _, e := range s.spare {
+		n := len(e.sent)
+		rare := s.set.ConnPrice < dearConn && (n < 2 || s.now-e.sent[n-2] > reuse)
+		if e.inflight == 0 && (rare || s.turned[e.dest.kind] > turnShy) {
+			e.warm = s.now
+			s.do(Release{e.id})
+		}
+	}
+	s.spare = s.spare[:0]
+}
+
 // sign notes what the end of a call at e says of an outage there.
 func (s *Sender) sign(e *endpoint, o Outcome) {
 	switch o {
--- a/logic/state.go
+++ b/logic/state.go
@@ -140,7 +140,8 @@
 	msgs      map[string]*msg
 	held      []*msg // messages not over, in order of arrival
 	flying    []*attempt
-	busy      int // slots in use
+	busy      int         // slots in use
+	spare     []*endpoint // whose last call ended in this step
 	seq       int
 	byClass   []hist
 	usage     []usage // by tenant
