--- a/logic/logic.go
+++ b/logic/logic.go
@@ -772,9 +772,9 @@
 	s.endIfStuck(m)
 }
 
-// giveBack releases the connections that nothing needs now. Those of many senders, idle ones counted, fill an
-// endpoint: each keeps one, and who comes later is turned away. Where a kind turns calls away none is kept; else
-// only those that we use rarely are given back, unless new ones are dear.
+// giveBack releases the connections that nothing needs now. Those of many senders, idle ones counted, fill
+// an endpoint: each keeps one, and who comes later is turned away. Where a kind turns calls away none stays;
+// else only those that we use rarely are given back, unless new ones are dear.
 func (s *Sender) giveBack() {
 	for _, e := range s.spare {
 		n := len(e.sent)
--- a/logic/mechanism_test.go
+++ b/logic/mechanism_test.go
@@ -558,6 +558,30 @@
 	}
 }
 
+// Found on the day of the herd: 36 senders kept a connection each to endpoints that take 6 to 16, and who had none was
+// turned away. Where that happens none is kept, however dear new ones are; where it does not, they are.
+func TestNoIdleConnectionsWhereManyAreTurnedAway(t *testing.T) {
+	for _, x := range []struct {
+		senders int
+		first   Outcome
+		back    int
+	}{{2, Full, 0}, {manySenders + 1, Completed, 0}, {manySenders + 1, Full, 1}} {
+		set := base()
+		set.Senders, set.ConnPrice = x.senders, dearConn
+		r := newRig(t, set)
+		a, b := r.call(0), r.call(0)
+		out := only[CallOut](r.step(0, list(2), a, b))
+		if len(out) != 2 {
+			t.Fatalf("%d senders: %d calls", x.senders, len(out))
+		}
+		r.step(0.1, answer(out[0].ID, out[0].Endpoint, 0, x.first))
+		got := only[Release](r.step(0.2, answer(out[1].ID, out[1].Endpoint, 0, Completed)))
+		if len(got) != x.back || x.back == 1 && got[0].Endpoint != out[1].Endpoint {
+			t.Errorf("%d senders, %v elsewhere: gave back %v", x.senders, x.first, got)
+		}
+	}
+}
+
 // crowdOf makes a sender among many at one destination with a told rate.
 func crowdOf(t *testing.T, senders int, rate float64, seed uint64) *rig {
 	t.Helper()
