--- a/internal/node/bulk.go
+++ b/internal/node/bulk.go
@@ -142,7 +142,7 @@
 		r := result{outcome: logic.RefusedConn}
 		if ownFault(err) {
 			r = result{outcome: logic.Moot, local: true}
-			pause(ctx, retryPause) // descriptors, say: room may come
+			pause(ctx, jitter(retryPause)) // descriptors, say: room may come
 		}
 		b.settleAll(sent, r)
 		return
--- a/internal/node/discovery.go
+++ b/internal/node/discovery.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"io"
 	"log/slog"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"slices"
@@ -18,6 +19,7 @@
 	watchHold  = 20 * time.Second       // how long a watch may wait for news
 	watchSlack = time.Second            // and how much later its answer may come; changes count as told 2 s later
 	listTime   = 6 * time.Second        // for the whole list
+	firstWatch = 300 * time.Millisecond // within this a start begins to watch: many senders may start at one moment
 	emptyPause = 100 * time.Millisecond // between watches that are answered at once with nothing
 	maxList    = 4 << 20
 	keepGone   = time.Minute            // an endpoint off the list is remembered so long: it may come back
@@ -225,6 +227,9 @@
 	if d.epoch > 0 && !d.started {
 		w.spare = moveTries
 	}
+	if !d.heard && d.started { // the list of the start will do for that long
+		w.spread = firstWatch
+	}
 	go func() {
 		defer stop()
 		w.run(ctx)
@@ -239,10 +244,12 @@
 	epoch   int
 	gen     int64
 	started bool
-	spare   int // calls that may fail before the watch does
+	spare   int           // calls that may fail before the watch does
+	spread  time.Duration // the first call comes at any time within this
 }
 
 func (w *watch) run(ctx context.Context) {
+	pause(ctx, time.Duration(rand.Int64N(int64(w.spread)+1)))
 	for ctx.Err() == nil {
 		url, limit := w.base, listTime
 		if w.started {
@@ -257,7 +264,7 @@
 		if err != nil {
 			w.d.log.Warn("discovery", "err", err)
 			if w.spare--; w.spare >= 0 {
-				time.Sleep(movePause)
+				pause(ctx, jitter(movePause))
 				continue
 			}
 			w.d.events <- listEvent{err: err, epoch: w.epoch}
@@ -266,7 +273,7 @@
 		w.gen, w.started, w.spare = list.Generation, true, 0
 		w.d.events <- listEvent{list: list, epoch: w.epoch}
 		if len(list.Instances) == 0 && time.Since(at) < emptyPause {
-			time.Sleep(emptyPause)
+			pause(ctx, jitter(emptyPause))
 		}
 	}
 }
--- a/internal/node/loop.go
+++ b/internal/node/loop.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"log/slog"
+	"math/rand/v2"
 	"net"
 	"os"
 	"slices"
@@ -464,6 +465,9 @@
 	return out
 }
 
+// jitter is d, give or take half: what fails for many senders at once must not be tried again by all at once.
+func jitter(d time.Duration) time.Duration { return d/2 + time.Duration(rand.Int64N(int64(d))) }
+
 // pause waits for d or until ctx is over.
 func pause(ctx context.Context, d time.Duration) {
 	t := time.NewTimer(d)
@@ -708,7 +712,7 @@
 			n.log.Error("call", "err", err)
 		}
 		ev := replyEvent{in, result{outcome: logic.Moot}, 0}
-		time.AfterFunc(retryPause, func() { n.events <- ev }) // a full disk, say: room may come
+		time.AfterFunc(jitter(retryPause), func() { n.events <- ev }) // a full disk, say: room may come
 		return
 	}
 	n.calling = append(n.calling, outgoing{ctx, in})
@@ -743,7 +747,7 @@
 	r := n.caller.do(group[0].ctx, group[0].call)
 	took := time.Since(at)
 	if r.local {
-		pause(group[0].ctx, retryPause) // descriptors, say: room may come
+		pause(group[0].ctx, jitter(retryPause)) // descriptors, say: room may come
 	}
 	n.events <- replyEvent{group[0].call, r, took}
 }
--- a/internal/node/notices.go
+++ b/internal/node/notices.go
@@ -88,7 +88,7 @@
 				q.log.Warn("notices", "err", err)
 			}
 			failing = true
-			pause(ctx, noticePause)
+			pause(ctx, jitter(noticePause))
 			continue
 		case n > 0:
 			failing = false
--- a/logic/logic.go
+++ b/logic/logic.go
@@ -110,8 +110,8 @@
 
 func (s *Sender) list(ev Endpoints) {
 	if ev.Form == ListFailed {
-		// Asked in vain or subscription broken: ask again, later each time.
-		s.askAt = s.now + s.askGap
+		// Asked in vain or subscription broken: ask again, later each time, and not when all others do.
+		s.askAt = s.now + Micros((0.5+s.rng.Float64())*float64(s.askGap))
 		s.askGap = min(2*s.askGap, askMost)
 		return
 	}
