Bound a list that stalls in the middle, and count a failed handover's time from SIGTERM

A handover that fails took up to 2 s of the 3.7 s that SIGTERM leaves; the end is counted from SIGTERM now. What the old process shows as open is 0 once it is replaced.

--- a/internal/node/discovery.go
+++ b/internal/node/discovery.go
@@ -177,10 +177,11 @@
 	heard    bool               // from discovery itself, in the life of this process
 	epoch    int                // counts the addresses
 	stop     context.CancelFunc // of the watch
+	rest     time.Duration      // for an answer that has begun to come whole
 }
 
 func newDiscovery(addr string, log *slog.Logger, events chan<- any) *discovery {
-	return &discovery{addr: addr, log: log, events: events, client: &http.Client{Transport: &http.Transport{
+	return &discovery{addr: addr, log: log, events: events, rest: listTime, client: &http.Client{Transport: &http.Transport{
 		DialContext:         (&net.Dialer{Timeout: 2 * time.Second}).DialContext,
 		MaxIdleConnsPerHost: 1, MaxConnsPerHost: 4, IdleConnTimeout: 30 * time.Second}}}
 }
@@ -291,6 +292,7 @@
 		return list, err
 	}
 	defer resp.Body.Close()
+	defer time.AfterFunc(d.rest, cancel).Stop() // one that falls silent in the middle must not cost a whole watch
 	if resp.StatusCode != http.StatusOK {
 		io.Copy(io.Discard, io.LimitReader(resp.Body, maxList))
 		return list, fmt.Errorf("discovery answered %s", resp.Status)
--- a/internal/node/handover.go
+++ b/internal/node/handover.go
@@ -486,7 +486,8 @@
 	n.disc.halt()
 	n.caller.releaseAll()
 	n.clients.turn(replaced)
-	grace, end := context.WithTimeout(work, stopAll)
+	n.figures.open.Store(0)
+	grace, end := context.WithDeadline(work, n.closing.Add(stopAll))
 	defer end()
 	served := make(chan struct{})
 	go func() {
--- a/internal/node/loop.go
+++ b/internal/node/loop.go
@@ -36,7 +36,7 @@
 }
 
 // closingEvent starts the shutdown, or the handover to another process.
-type closingEvent struct{}
+type closingEvent struct{ at time.Time } // when SIGTERM came
 
 // held is a message that the module has and that is not over.
 type held struct {
@@ -77,7 +77,7 @@
 	open    int                  // of held, those not over
 	recent  map[string]time.Time // ids that were taken on and are over, until their time is up
 	next    []logic.Event        // for the next step
-	closing bool                 // SIGTERM has come
+	closing time.Time            // when SIGTERM came; zero until then
 	before  *predecessor         // nil if there is none
 	after   *successor           // nil if there is none
 	puts    []putEvent
@@ -176,7 +176,7 @@
 	go func() {
 		select {
 		case <-ctx.Done():
-			n.events <- closingEvent{}
+			n.events <- closingEvent{time.Now()}
 		case <-work.Done():
 		}
 	}()
@@ -226,7 +226,7 @@
 func (n *Node) shutDown(work context.Context) (served, stopped <-chan struct{}) {
 	none, late := make(chan struct{}), make(chan struct{})
 	n.clients.turn(stopping)
-	grace, end := context.WithTimeout(work, stopAll)
+	grace, end := context.WithDeadline(work, n.closing.Add(stopAll))
 	go func() {
 		defer end()
 		pause(grace, acceptOn)
@@ -287,7 +287,7 @@
 		for len(n.next) > 0 {
 			n.step(work)
 		}
-		if n.closing && stopped == nil {
+		if !n.closing.IsZero() && stopped == nil {
 			if n.after != nil {
 				err := n.handOver()
 				if err == nil {
@@ -296,7 +296,7 @@
 				n.log.Error("the handover failed: this process stays the owner until its end", "err", err)
 			}
 			served, stopped = n.shutDown(work)
-			n.next = append(n.next, logic.Closing{Left: micros(stopSends)})
+			n.next = append(n.next, logic.Closing{Left: micros(max(stopSends-time.Since(n.closing), 0))})
 			n.step(work)
 		}
 		rest.Reset(tick)
@@ -361,7 +361,7 @@
 	case reloadEvent:
 		n.moveTo(work, ev.cfg)
 	case closingEvent:
-		n.closing = true
+		n.closing = ev.at
 	case remoteEvent:
 		n.remote(ev)
 	case successorEvent:
