--- a/internal/node/clients_test.go
+++ b/internal/node/clients_test.go
@@ -196,6 +196,10 @@
 			if s.clients+s.calls+otherSockets > sockets || s.idle > s.calls || s.clients*3 < sockets-otherSockets {
 				t.Errorf("%d sockets, %d slots: %+v", sockets, slots, s)
 			}
+			cfg.Limits = cfg.Limits.among(2)
+			if s := shareOut(cfg); sockets >= 256 && 2*(s.clients+s.calls+otherSockets) > sockets {
+				t.Errorf("two processes with %d sockets, %d slots: %+v each", sockets, slots, s)
+			}
 		}
 	}
 }
