Tell a refusal for want of a connection from one above a limit

Refusals above a limit came after 60 to 90 ms and had one, without exception.

To blame: full, refused and again in logic.go, which knew one kind of refusal.

Now such a message is tried again after 50 ms, doubled each time, the pace is left alone, and only eight in a row with no answer in between look like an outage.

--- a/logic/logic.go
+++ b/logic/logic.go
@@ -59,6 +59,8 @@
 	lately      = Second       // ours: one refused connection does not, if an answer came so shortly before
 	spoiltDown  = 4            // ours: spoilt answers in a row that look like an outage
 	errorRest   = 100_000      // ours: pause of a message after an error, doubled with each try
+	placeRest   = 50_000       // ours: mean pause of a message that found no connection, doubled with each try
+	placesDown  = 8            // ours: such refusals in a row, and no answer for fullsSpan, look like an outage
 
 	quotaHalf = 5 * Second // ours: half-life of a tenant's rate
 	lossAhead = Second     // ours: loss of worth within this sets who goes first
@@ -703,8 +705,8 @@
 	}
 	a, e := m.out, m.out.ep
 	lastOfCall := s.landed(a)
-	x := s.turned[e.dest.kind] * (1 - turnAlpha)
-	if r.Outcome == Full {
+	x, crowded := s.turned[e.dest.kind]*(1-turnAlpha), s.crowded(r)
+	if crowded || r.Outcome == Full && !s.reports() {
 		x += turnAlpha
 	}
 	s.turned[e.dest.kind] = x
@@ -738,6 +740,13 @@
 			s.creep(e.lane)
 		}
 	case Full:
+		if crowded {
+			m.rest = s.now + Micros((0.5+s.rng.Float64())*float64(Micros(placeRest)<<min(m.tries-1, 5)))
+			if lastOfCall {
+				s.noPlace(e)
+			}
+			break
+		}
 		if lastOfCall { // a batch is one call: one refusal
 			s.full(e, r.Wait)
 		}
@@ -872,6 +881,26 @@
 	}
 }
 
+// crowded says whether a call was turned away for want of a connection. Where answers carry reports such a
+// refusal has none: it comes before anything that knows of limits.
+func (s *Sender) crowded(r Reply) bool {
+	return r.Outcome == Full && r.Wait == 0 && len(r.Load) == 0 && s.reports()
+}
+
+// reports says whether answers here carry reports.
+func (s *Sender) reports() bool {
+	return slices.ContainsFunc(s.order, func(d *dest) bool { return d.lane.told })
+}
+
+// noPlace notes a call for which e had no connection. It says nothing of a limit, and many in a row mean no
+// more than that others hold the places, unless nothing else has come from e for long.
+func (s *Sender) noPlace(e *endpoint) {
+	if e.fulls++; e.suspect || e.fulls >= placesDown && s.now-e.lastOK > fullsSpan {
+		e.lastBad = s.now
+		s.takeOut(e, "has no connection")
+	}
+}
+
 // takeOut takes an endpoint for out: from now on single trials, and after its return a budget.
 func (s *Sender) takeOut(e *endpoint, how string) {
 	s.suspect(e, how)
--- a/logic/mechanism_test.go
+++ b/logic/mechanism_test.go
@@ -746,3 +746,45 @@
 		t.Errorf("pace %v after one call, want %v", l.pace, want)
 	}
 }
+
+// Found on the days of a large fleet: most refusals of the first seconds were for want of a connection, and told by the
+// missing report. Taken for the limit they slowed the destination down for seconds and made it look shut.
+func TestNoConnectionIsNoLimit(t *testing.T) {
+	for _, x := range []struct {
+		load []float64
+		slow bool
+	}{{nil, false}, {[]float64{0, 200}, true}} {
+		set := base()
+		set.Senders, set.ReportLeft, set.ReportLimit, set.MaxTries = 80, 0, 1, 60
+		r := newRig(t, set)
+		c := only[CallOut](r.step(0, list(1), r.call(0)))[0]
+		ok := answer(c.ID, 1, 0, Completed)
+		ok.Load = []float64{1, 200}
+		c = only[CallOut](r.step(0.5, ok, r.call(2)))[0]
+		no := answer(c.ID, 1, 0, Full)
+		no.Load = x.load
+		r.step(1, no)
+		if l := r.s.dests[9].lane; (l.pace > 0) != x.slow {
+			t.Errorf("load %v: pace %v", x.load, l.pace)
+		}
+		if x.slow {
+			continue
+		}
+		out := only[CallOut](r.step(1.1, Due{}))
+		if len(out) == 0 {
+			t.Error("not sent again within 100 ms")
+		}
+		for at := 1.2; at < 10; at += 0.05 {
+			for _, c := range out {
+				r.step(at, answer(c.ID, 1, r.s.msgs[c.ID].tries-1, Full))
+			}
+			out = only[CallOut](r.step(at+0.01, Due{}))
+			if at < 1.9 && r.s.eps[1].suspect {
+				t.Fatalf("out at %.2f s, soon after an answer", at)
+			}
+		}
+		if !r.s.eps[1].suspect {
+			t.Error("not out after seconds of nothing but refusals")
+		}
+	}
+}
