Let many senders share a told limit instead of learning it by refusals

Afterwards all rest about 8 s, and nobody uses what is free again. Where a wait was told (destination 5) the pace was that of the last second, about one call each: 80 against a limit of 54.

Checked: x0 falls from 0.9 to 0 within the second in which that begins, so answers that still succeed tell it. Ruled out: limits too low for the traffic (it fits before and after), shut destinations (they answer some), connections (x0 is 0, reports are there).

To blame: paced, which bounded each sender by the whole limit; refused and creep, which knew either a rest of 8 s or no pace at all; again, which failed messages that had never run after one refusal.

--- a/logic/logic.go
+++ b/logic/logic.go
@@ -30,11 +30,13 @@
 	paceSpan  = Second     // design: the span of the first pace, and between two halvings
 	paceSave  = Second / 2 // ours: what an idle pace saves up; more of it meets limits in bursts
 	paceCreep = 0.1        // ours: growth of the pace with each success
+	paceRoom  = 0.75       // ours: part of a told limit that the floors of many senders add up to
+	leastUsed = 0.3        // ours: least part in use that a report is believed to tell: it is late and noisy
 	paceFree  = 4.0        // ours: a pace this many times what is sent sets nothing any more and is dropped
 
 	badAlpha    = 0.3          // ours: weight of the newest outcome in an endpoint's share of failures
 	badShare    = 0.45         // ours: failing more than this is an outage
-	shyMost     = 8 * Second   // ours: longest mean rest of a lane after a refusal, among many senders
+	shyMost     = 8 * Second   // ours: longest mean rest of a lane, among many senders
 	sendAgain   = 1.0          // ours: part of the traffic of an outage that comes again at one time
 	outage      = 5 * Second   // ours: how long an outage lasted, beside the time since we saw it
 	outageLeast = 2 * Second   // ours: an endpoint that answers again within this was not out, and is not cold
@@ -50,9 +52,7 @@
 	slowProbe   = 4 * Second   // ours: but tried again after this
 	reuse       = 5 * Second   // ours: an endpoint called less often than this shares its connections
 	turnAlpha   = 0.05         // ours: weight of the newest call in a kind's share of calls turned away
-	turnShare   = 0.2          // ours: share above which a refused message of mean worth is not tried again
 	turnShy     = 0.01         // ours: share above which many senders keep no idle connection
-	restPart    = 0.1          // ours: least mean part of its time left that a refused message rests
 	dearConn    = 0.04         // ours: price of a connection with each message above which none is given back
 	manySenders = 16           // ours: more than this, one idle connection each, may fill an endpoint
 	resetsDown  = 3            // ours: connections that break in a row, no answer between, look like an outage
@@ -478,11 +478,17 @@
 
 // ---- Pace ----------------------------------------------------------------------------
 
-// paced says when the lane may take its next call.
+// paced says when the lane may take its next call. A limit that is told bounds the pace from the start; where
+// reports tell what is left of it, each of many senders takes its even share of the limit over the part in
+// use: were all to send so, it would be just used up. To wait for refusals is too late: they count, so that a
+// clump that many senders send at once has all of the next seconds refused.
 func (s *Sender) paced(l *lane) Micros {
 	r := l.pace
-	if l.limit > 0 { // where a limit is told, it bounds the pace from the start
+	if l.limit > 0 {
 		lim := l.limit
+		if s.many && l.told && s.set.ReportLeft >= 0 {
+			lim = max(lim/float64(s.set.Senders)/max(1-l.left, leastUsed), 1/seconds(shyMost))
+		}
 		if s.set.Weights == WeightsRough && !l.told {
 			lim *= 1.5
 		}
@@ -507,9 +513,9 @@
 		return
 	}
 	switch f := s.floor(l); {
-	case s.many && f < paceFloor && l.until <= s.now: // many: rest, or all that come keep the limit used up
+	case f < paceFloor && s.many: // our part of the limit is known: no need to feel for it
 		l.pace = max(f, 1/seconds(shyMost))
-	case s.many && f < paceFloor || l.pace == 0:
+	case l.pace == 0:
 		l.pace = max(f, float64(since(l.sent, s.now-paceSpan)))
 	default:
 		l.pace = max(f, l.pace/2)
@@ -523,13 +529,17 @@
 	}
 }
 
-// floor is one call a second, but no more than an even share of a limit that is told: with many senders at a
-// destination that counts refused calls, floors alone would use the limit up.
+// floor is one call a second, but no more than an even share of a limit that is told: at a destination that
+// counts refused calls, floors alone would use it up. Those of many senders leave room for that to end.
 func (s *Sender) floor(l *lane) float64 {
-	if l.limit > 0 {
-		return min(paceFloor, l.limit/float64(s.set.Senders))
+	if l.limit == 0 {
+		return paceFloor
 	}
-	return paceFloor
+	share := l.limit / float64(s.set.Senders)
+	if s.many {
+		share *= paceRoom
+	}
+	return min(paceFloor, share)
 }
 
 func (s *Sender) creep(l *lane) {
@@ -537,7 +547,7 @@
 		return
 	}
 	l.pace += paceCreep * max(l.pace, l.limit/float64(s.set.Senders))
-	if s.many && s.floor(l) < paceFloor || l.pace > paceFree*float64(since(l.sent, s.now-paceSpan)+1) {
+	if l.pace > paceFree*float64(since(l.sent, s.now-paceSpan)+1) {
 		l.pace = 0
 	}
 }
@@ -750,9 +760,6 @@
 		if lastOfCall { // a batch is one call: one refusal
 			s.full(e, r.Wait)
 		}
-		if s.many && s.floor(e.lane) < paceFloor && !r.NoMore && !m.over {
-			s.again(m, e)
-		}
 	case Recalled, Overdue:
 		if a.cut {
 			if !a.late {
@@ -818,20 +825,6 @@
 	}
 }
 
-// again decides on a refused message where the floors of all senders add up past the limit. Calls tried
-// again, by clients too, use up limits that count refusals. While the kind turns few away, a message rests
-// for a part of its time left, so that clumps spread; with more, only the worthier do.
-func (s *Sender) again(m *msg, e *endpoint) {
-	x := s.turned[e.dest.kind]
-	if x > turnShare*m.class.Worth/s.meanWorth {
-		s.do(Fail{ID: m.id})
-		s.close(m)
-		return
-	}
-	part := (restPart + x) * (0.5 + s.rng.Float64())
-	m.rest = max(s.now, e.lane.until) + Micros(part*float64(m.deadline-s.now))
-}
-
 // succeeded notes an answer to what was sent at a time. One sent before the last failure tells nothing of a
 // return: else a call that was under way when a destination shut would end the watch before it opens.
 func (s *Sender) succeeded(e *endpoint, sent Micros) {
--- a/logic/snapshot.go
+++ b/logic/snapshot.go
@@ -27,7 +27,6 @@
 	AskGap    Micros
 	Logs      int
 	Turned    map[int]float64
-	MeanWorth float64
 	Usage     []usageState
 	ByClass   []histState
 	Dests     []destState // in their order
@@ -54,6 +53,7 @@
 type laneState struct {
 	Limit     float64
 	Told      bool
+	Left      float64
 	Pace      float64
 	Halved    Micros
 	Tokens    float64
@@ -144,12 +144,12 @@
 }
 
 func (l *lane) save() laneState {
-	return laneState{l.limit, l.told, l.pace, l.halved, l.tokens, l.filled, l.until, l.inflight, l.fulls, l.firstFull,
+	return laneState{l.limit, l.told, l.left, l.pace, l.halved, l.tokens, l.filled, l.until, l.inflight, l.fulls, l.firstFull,
 		l.sent, l.peak, l.phase}
 }
 
 func (x laneState) lane() *lane {
-	return &lane{x.Limit, x.Told, x.Pace, x.Halved, x.Tokens, x.Filled, x.Until, x.Inflight, x.Fulls, x.FirstFull,
+	return &lane{x.Limit, x.Told, x.Left, x.Pace, x.Halved, x.Tokens, x.Filled, x.Until, x.Inflight, x.Fulls, x.FirstFull,
 		x.Sent, x.Peak, x.Phase}
 }
 
@@ -178,7 +178,7 @@
 		return nil, fmt.Errorf("snapshot: %w", err)
 	}
 	x := snapshot{Version: snapshotVersion, Rand: source, Now: s.now, Step: s.step, Seq: s.seq, ForgetAt: s.forgetAt,
-		AskAt: s.askAt, AskGap: s.askGap, Logs: s.logs, Turned: s.turned, MeanWorth: s.meanWorth, Held: len(s.held),
+		AskAt: s.askAt, AskGap: s.askGap, Logs: s.logs, Turned: s.turned, Held: len(s.held),
 		Keys: map[string]keyState{}}
 	for _, u := range s.usage {
 		x.Usage = append(x.Usage, usageState{u.n, u.at})
@@ -264,7 +264,7 @@
 		return nil, fmt.Errorf("snapshot: %w", err)
 	}
 	s.now, s.step, s.seq, s.forgetAt, s.askAt, s.askGap = x.Now, x.Step, x.Seq, x.ForgetAt, x.AskAt, x.AskGap
-	s.logs, s.meanWorth = x.Logs, x.MeanWorth
+	s.logs = x.Logs
 	for kind, share := range x.Turned {
 		s.turned[kind] = share
 	}
--- a/logic/state.go
+++ b/logic/state.go
@@ -26,6 +26,7 @@
 type lane struct {
 	limit     float64 // calls a second for all senders, as told; 0 if not
 	told      bool    // limit came in a report
+	left      float64 // share of it that is left, as told last
 	pace      float64 // 0: free
 	halved    Micros
 	tokens    float64
@@ -126,35 +127,34 @@
 
 // Sender decides for one sender. Make it with New.
 type Sender struct {
-	set       Settings
-	source    *rand.PCG // of rng
-	rng       *rand.Rand
-	now       Micros
-	step      int
-	out       []Action
-	eps       map[EndpointID]*endpoint
-	dests     map[int64]*dest
-	order     []*dest     // dests, in the order in which they became known
-	gone      []*endpoint // off the list, not yet forgotten
-	forgetAt  Micros
-	msgs      map[string]*msg
-	held      []*msg // messages not over, in order of arrival
-	flying    []*attempt
-	busy      int         // slots in use
-	spare     []*endpoint // whose last call ended in this step
-	seq       int
-	byClass   []hist
-	usage     []usage // by tenant
-	keys      map[string]*keyLine
-	wake      Micros // when something is next to be done
-	timer     Micros // when the last timer set goes off; 0 if none is out
-	askAt     Micros // when to ask for the list; never if asked
-	askGap    Micros
-	closeAt   Micros // when this sender stops; 0 if it does not
-	logs      int
-	many      bool            // senders
-	turned    map[int]float64 // by kind, share of calls turned away
-	meanWorth float64         // of messages that came
+	set      Settings
+	source   *rand.PCG // of rng
+	rng      *rand.Rand
+	now      Micros
+	step     int
+	out      []Action
+	eps      map[EndpointID]*endpoint
+	dests    map[int64]*dest
+	order    []*dest     // dests, in the order in which they became known
+	gone     []*endpoint // off the list, not yet forgotten
+	forgetAt Micros
+	msgs     map[string]*msg
+	held     []*msg // messages not over, in order of arrival
+	flying   []*attempt
+	busy     int         // slots in use
+	spare    []*endpoint // whose last call ended in this step
+	seq      int
+	byClass  []hist
+	usage    []usage // by tenant
+	keys     map[string]*keyLine
+	wake     Micros // when something is next to be done
+	timer    Micros // when the last timer set goes off; 0 if none is out
+	askAt    Micros // when to ask for the list; never if asked
+	askGap   Micros
+	closeAt  Micros // when this sender stops; 0 if it does not
+	logs     int
+	many     bool            // senders
+	turned   map[int]float64 // by kind, share of calls turned away
 }
 
 // hist is a discounted latency histogram.
@@ -277,6 +277,9 @@
 func (s *Sender) report(e *endpoint, load []float64) {
 	if i := s.set.ReportLimit; i >= 0 && i < len(load) && load[i] > 0 {
 		e.lane.limit, e.lane.told = load[i], true
+		if i := s.set.ReportLeft; i >= 0 && i < len(load) {
+			e.lane.left = load[i]
+		}
 	}
 }
 
@@ -365,7 +368,6 @@
 		deadline: s.now + c.Left, first: min(s.now, s.now+c.Left-class.Deadline)}
 	s.ageOut(m.dest)
 	m.dest.came++
-	s.meanWorth += (class.Worth - s.meanWorth) / float64(min(s.seq, 50))
 	m.share = s.shareOf(c.Tenant)
 	s.msgs[m.id] = m
 	s.held = append(s.held, m)
