Give connections back for a minute, not 32 calls, where a call found none

Checked: 80 ms at 20 a second are two calls at once, far under the 12 places or more of two endpoints, so idle connections hold them. Who holds one is never refused, and a sender that was refused kept idle ones again after 32 calls, some 6 s later. Ruled out: the limit (x0), a slow destination (80 ms as before).

To blame: reply and giveBack, which measured the share of calls turned away by the last twenty calls or so.

Now a kind that lacked a connection counts as short of them for a minute.

--- a/logic/logic.go
+++ b/logic/logic.go
@@ -59,6 +59,7 @@
 	lately      = Second       // ours: one refused connection does not, if an answer came so shortly before
 	spoiltDown  = 4            // ours: spoilt answers in a row that look like an outage
 	errorRest   = 100_000      // ours: pause of a message after an error, doubled with each try
+	shortFor    = 60 * Second  // ours: many senders keep no idle connection so long after one found none
 	placeRest   = 50_000       // ours: mean pause of a message that found no connection, doubled with each try
 	placesDown  = 8            // ours: such refusals in a row, and no answer for fullsSpan, look like an outage
 
@@ -81,7 +82,7 @@
 	source := rand.NewPCG(seed, 0)
 	s := &Sender{set: set, source: source, rng: rand.New(source), now: math.MinInt64, askAt: never,
 		askGap: askGap, eps: map[EndpointID]*endpoint{}, dests: map[int64]*dest{}, msgs: map[string]*msg{},
-		keys: map[string]*keyLine{}, turned: map[int]float64{}}
+		keys: map[string]*keyLine{}, turned: map[int]float64{}, short: map[int]Micros{}}
 	if set.OnRequest {
 		s.askAt = math.MinInt64
 	}
@@ -716,7 +717,10 @@
 	a, e := m.out, m.out.ep
 	lastOfCall := s.landed(a)
 	x, crowded := s.turned[e.dest.kind]*(1-turnAlpha), s.crowded(r)
-	if crowded || r.Outcome == Full && !s.reports() {
+	switch {
+	case crowded:
+		s.short[e.dest.kind] = s.now + shortFor
+	case r.Outcome == Full && !s.reports():
 		x += turnAlpha
 	}
 	s.turned[e.dest.kind] = x
@@ -795,7 +799,7 @@
 	for _, e := range s.spare {
 		n := len(e.sent)
 		rare := s.set.ConnPrice < dearConn && (n < 2 || s.now-e.sent[n-2] > reuse)
-		if e.inflight == 0 && (rare || s.turned[e.dest.kind] > turnShy) {
+		if e.inflight == 0 && (rare || s.turned[e.dest.kind] > turnShy || s.now < s.short[e.dest.kind]) {
 			e.warm = s.now
 			s.do(Release{e.id})
 		}
--- a/logic/mechanism_test.go
+++ b/logic/mechanism_test.go
@@ -598,6 +598,35 @@
 	}
 }
 
+// Found on the days of a large fleet: 32 calls after a refusal for want of a connection a sender kept idle ones again,
+// and who holds one is never refused, so small destinations stood half idle behind places that nobody used.
+func TestScarceConnectionsAreGivenBackForAMinute(t *testing.T) {
+	set := base()
+	set.Senders, set.ConnPrice, set.ReportLeft, set.ReportLimit = 80, 2*dearConn, 0, 1
+	r := newRig(t, set)
+	r.step(0, list(1))
+	deliver := func(at float64) (back int) {
+		c := only[CallOut](r.step(at, r.call(0)))[0]
+		ok := answer(c.ID, 1, 0, Completed)
+		ok.Load = []float64{1, 200}
+		return len(only[Release](r.step(at+0.1, ok)))
+	}
+	if deliver(0.5) > 0 {
+		t.Error("given back though no call lacked one")
+	}
+	c := only[CallOut](r.step(1, r.call(0)))[0]
+	r.step(1.1, answer(c.ID, 1, 0, Full))
+	r.step(1.2, ClientGone{c.ID})
+	for i := range 50 {
+		if deliver(2+float64(i)) == 0 {
+			t.Fatalf("kept again after %d calls", i)
+		}
+	}
+	if deliver(62) > 0 {
+		t.Error("given back more than a minute after")
+	}
+}
+
 // crowdOf makes a sender among many at one destination with a told rate.
 func crowdOf(t *testing.T, senders int, rate float64, seed uint64) *rig {
 	t.Helper()
--- a/logic/rules_test.go
+++ b/logic/rules_test.go
@@ -26,6 +26,7 @@
 		"no advice":  make(func(s *Settings) { s.RetryAfter, s.MaxRetryAfter = false, 0 }),
 		"no cancel":  make(func(s *Settings) { s.MayCancel = false }),
 		"reports":    make(func(s *Settings) { s.ReportLeft, s.ReportLimit = 0, 1; s.Senders = 9 }),
+		"many":       make(func(s *Settings) { s.ReportLeft, s.ReportLimit = 0, 1; s.Senders = 80 }),
 		"no limits":  make(func(s *Settings) { s.MaxOpen, s.MaxTries, s.Slots = 0, 0, 40 }),
 		"short tick": make(func(s *Settings) { s.Tick = 1000; s.DrainGrace = 0 }),
 	}
--- a/logic/snapshot.go
+++ b/logic/snapshot.go
@@ -27,6 +27,7 @@
 	AskGap    Micros
 	Logs      int
 	Turned    map[int]float64
+	Short     map[int]Micros
 	Usage     []usageState
 	ByClass   []histState
 	Dests     []destState // in their order
@@ -178,7 +179,7 @@
 		return nil, fmt.Errorf("snapshot: %w", err)
 	}
 	x := snapshot{Version: snapshotVersion, Rand: source, Now: s.now, Step: s.step, Seq: s.seq, ForgetAt: s.forgetAt,
-		AskAt: s.askAt, AskGap: s.askGap, Logs: s.logs, Turned: s.turned, Held: len(s.held),
+		AskAt: s.askAt, AskGap: s.askGap, Logs: s.logs, Turned: s.turned, Short: s.short, Held: len(s.held),
 		Keys: map[string]keyState{}}
 	for _, u := range s.usage {
 		x.Usage = append(x.Usage, usageState{u.n, u.at})
@@ -268,6 +269,9 @@
 	for kind, share := range x.Turned {
 		s.turned[kind] = share
 	}
+	for kind, until := range x.Short {
+		s.short[kind] = until
+	}
 	for i, u := range x.Usage {
 		s.usage[i] = usage{u.N, u.At}
 	}
--- a/logic/state.go
+++ b/logic/state.go
@@ -155,6 +155,7 @@
 	logs     int
 	many     bool            // senders
 	turned   map[int]float64 // by kind, share of calls turned away
+	short    map[int]Micros  // by kind, until when connections to it count as scarce
 }
 
 // hist is a discounted latency histogram.
