Log a refused handover socket once, and look for it ever more seldom

A state folder that refuses the socket was passed over already (a test now shows it).

Now a row of failures is one line, and the pause doubles up to a second.

--- a/internal/node/handover.go
+++ b/internal/node/handover.go
@@ -339,19 +339,31 @@
 	packets chan packet // what it says; closed with the link
 }
 
+// unixListener is what awaitSuccessors needs of a *net.UnixListener.
+type unixListener interface {
+	AcceptUnix() (*net.UnixConn, error)
+	Close() error
+}
+
 // awaitSuccessors greets the processes that come to replace this one, until ctx is over. One at a time stands by.
-func (n *Node) awaitSuccessors(ctx context.Context, ln *net.UnixListener) {
+func (n *Node) awaitSuccessors(ctx context.Context, ln unixListener) {
 	defer context.AfterFunc(ctx, func() { ln.Close() })()
+	said, rest := "", acceptPause
 	for {
 		conn, err := ln.AcceptUnix()
 		if err != nil {
 			if errors.Is(err, net.ErrClosed) {
 				return
 			}
-			n.log.Warn("handover: accept", "err", err)
-			pause(ctx, acceptPause)
+			if err.Error() != said { // once for a row of failures: where such sockets are refused it does not end
+				said = err.Error()
+				n.log.Warn("handover: accept", "err", err)
+			}
+			pause(ctx, rest)
+			rest = min(2*rest, acceptMost)
 			continue
 		}
+		said, rest = "", acceptPause
 		s := &successor{link: &link{conn: conn}, packets: make(chan packet, 64)}
 		stop := context.AfterFunc(ctx, s.link.close)
 		if err := s.link.hear(); err == nil {
--- a/internal/node/handover_test.go
+++ b/internal/node/handover_test.go
@@ -1,13 +1,17 @@
 package node
 
 import (
+	"context"
 	"encoding/binary"
 	"fmt"
 	"hash/crc32"
 	"io"
+	"log/slog"
 	"net"
 	"os"
+	"path/filepath"
 	"strings"
+	"syscall"
 	"testing"
 	"time"
 )
@@ -357,3 +361,39 @@
 		})
 	}
 }
+
+// refusing is a listener that fails so many times, and is then closed.
+type refusing int
+
+func (f *refusing) AcceptUnix() (*net.UnixConn, error) {
+	if *f--; *f >= 0 {
+		return nil, syscall.ENOSYS
+	}
+	return nil, net.ErrClosed
+}
+
+func (f *refusing) Close() error { return nil }
+
+// Where the platform refuses Unix sockets, the log has one line of it, not one every few milliseconds.
+func TestRefusedHandoverIsLoggedOnce(t *testing.T) {
+	var log strings.Builder
+	n := &Node{log: slog.New(slog.NewTextHandler(&log, nil))}
+	ln := refusing(4)
+	n.awaitSuccessors(context.Background(), &ln)
+	if got := strings.Count(log.String(), "\n"); got != 1 {
+		t.Errorf("%d lines:\n%s", got, log.String())
+	}
+}
+
+// A state folder in which the handover's socket cannot be made is one that a sender serves from all the same.
+func TestServesWithoutTheHandoverSocket(t *testing.T) {
+	w := newUpgradeWorld(t)
+	if err := os.MkdirAll(filepath.Join(w.dir, socketName, "foreign"), 0o700); err != nil {
+		t.Fatal(err)
+	}
+	x := w.start()
+	dial(t, x.addr).put("m1", "safe", "+OK")
+	await(t, w.e.calls, "call").reply(200)
+	x.term()
+	x.end()
+}
--- a/internal/node/link.go
+++ b/internal/node/link.go
@@ -22,6 +22,7 @@
 	linkTime     = time.Second // for one frame to be written, and for each step of a handover
 	maxFrame     = 16 << 20
 	standbyPause = 20 * time.Millisecond // between looks at a lock that is taken
+	acceptMost   = time.Second           // the longest pause of a listener that fails
 )
 
 // errTorn says that what came over the link is not a whole frame.
