Take no endpoint that has gone for an outage of its destination after a start

Checked: the siblings answer all others. Ruled out: limits and connections (19 of the 32 refusals of that second are connection refused, not 503), processor time.

To blame: budget and health in logic.go. An endpoint that refuses a connection and has not answered yet makes its siblings cold and tried singly until one of them answers; on the list of a start half of the endpoints may be gone.

Now such an endpoint says nothing of its siblings for 6 s after the start, by which the protocol counts news as told, or until news comes. One that answered before, or refuses on a list that is confirmed, counts as ever.

--- a/logic/logic.go
+++ b/logic/logic.go
@@ -63,15 +63,16 @@
 	placeRest   = 50_000       // ours: mean pause of a message that found no connection, doubled with each try
 	placesDown  = 8            // ours: such refusals in a row, and no answer for fullsSpan, look like an outage
 
-	quotaHalf = 5 * Second // ours: half-life of a tenant's rate
-	lossAhead = Second     // ours: loss of worth within this sets who goes first
-	holdHalf  = 0.7        // ours: share of the hold above which messages that the pace cannot send in time end
-	holdFull  = 0.9        // ours: share of the hold above which the least worthy are refused
-	askGap    = Second     // ours: first pause before the list is asked for again
-	askMost   = 8 * Second // ours: and the longest
-	logMost   = 200        // ours: log lines in a life
-	never     = Micros(math.MaxInt64)
-	longAgo   = Micros(math.MinInt64 / 2)
+	quotaHalf  = 5 * Second // ours: half-life of a tenant's rate
+	lossAhead  = Second     // ours: loss of worth within this sets who goes first
+	holdHalf   = 0.7        // ours: share of the hold above which messages that the pace cannot send in time end
+	holdFull   = 0.9        // ours: share of the hold above which the least worthy are refused
+	listUnsure = 6 * Second // protocol: news of the list counts as told so long after a start at the latest
+	askGap     = Second     // ours: first pause before the list is asked for again
+	askMost    = 8 * Second // ours: and the longest
+	logMost    = 200        // ours: log lines in a life
+	never      = Micros(math.MaxInt64)
+	longAgo    = Micros(math.MinInt64 / 2)
 )
 
 // New makes a Sender. An error names the setting that makes no sense.
@@ -121,6 +122,10 @@
 	if s.askAt == never {
 		s.askGap = askGap
 	}
+	s.unsure = 0
+	if ev.Form == ListCached {
+		s.unsure = s.now + listUnsure
+	}
 	if ev.Form != ListDelta {
 		s.keepOnly(ev.Entries)
 	}
@@ -395,7 +400,7 @@
 	// Outages mostly take all endpoints: after one has failed, the others are tried singly until they answer.
 	if e.inflight > 0 && e.lane == e.dest.lane {
 		for _, x := range e.dest.eps {
-			if x.suspect && x.lastBad > e.lastOK {
+			if x.suspect && x.lastBad > e.lastOK && !s.mayBeGone(x) {
 				return never
 			}
 		}
@@ -403,6 +408,10 @@
 	return 0
 }
 
+// mayBeGone says whether x, which seems out, may just have gone: it has not answered yet, and the list is
+// still that of the start, which may be old. That says nothing of its siblings.
+func (s *Sender) mayBeGone(x *endpoint) bool { return s.now < s.unsure && x.lastOK == longAgo }
+
 // budget keeps what goes to a destination after an outage under this sender's share of what topples it. The
 // endpoints of a lane that are cold share one budget: the lane falls over as a whole.
 func (s *Sender) budget(e *endpoint) Micros {
@@ -413,7 +422,8 @@
 		return 0 // a trial so soon cannot meet the return from an outage
 	}
 	if !e.cold && !slices.ContainsFunc(e.dest.eps, func(x *endpoint) bool {
-		return x.cold && x.lane == e.lane && x.lastBad > e.well // e did not answer while x was out
+		// e did not answer while x was out
+		return x.cold && x.lane == e.lane && x.lastBad > e.well && !s.mayBeGone(x)
 	}) {
 		return 0
 	}
--- a/logic/outage_test.go
+++ b/logic/outage_test.go
@@ -120,3 +120,29 @@
 		t.Errorf("%d calls after the wait, want 1", n)
 	}
 }
+
+// Found on the day of a large herd: after a restart half of the endpoints on the list kept from before were gone. Each
+// that refused a connection was taken for an outage of its destination, and held up the siblings for seconds.
+func TestOldListIsNoOutage(t *testing.T) {
+	for _, news := range []bool{false, true} {
+		r := newRig(t, base())
+		first := list(2)
+		first.Form = ListCached
+		r.step(0, first)
+		if news {
+			r.step(0.05, Endpoints{Form: ListDelta})
+		}
+		c := only[CallOut](r.step(0.1, r.call(0)))[0]
+		r.step(0.2, answer(c.ID, c.Endpoint, 0, RefusedConn))
+		n := 0
+		for _, x := range only[CallOut](r.step(0.3, r.call(0), r.call(0))) {
+			if x.Endpoint == c.Endpoint {
+				t.Error("sent to the endpoint that refused")
+			}
+			n++
+		}
+		if !news && n != 2 || news && n != 0 {
+			t.Errorf("news %v: %d sent beside the first", news, n)
+		}
+	}
+}
--- a/logic/snapshot.go
+++ b/logic/snapshot.go
@@ -25,6 +25,7 @@
 	ForgetAt  Micros
 	AskAt     Micros
 	AskGap    Micros
+	Unsure    Micros
 	Logs      int
 	Turned    map[int]float64
 	Short     map[int]Micros
@@ -179,7 +180,7 @@
 		return nil, fmt.Errorf("snapshot: %w", err)
 	}
 	x := snapshot{Version: snapshotVersion, Rand: source, Now: s.now, Step: s.step, Seq: s.seq, ForgetAt: s.forgetAt,
-		AskAt: s.askAt, AskGap: s.askGap, Logs: s.logs, Turned: s.turned, Short: s.short, Held: len(s.held),
+		AskAt: s.askAt, AskGap: s.askGap, Unsure: s.unsure, Logs: s.logs, Turned: s.turned, Short: s.short, Held: len(s.held),
 		Keys: map[string]keyState{}}
 	for _, u := range s.usage {
 		x.Usage = append(x.Usage, usageState{u.n, u.at})
@@ -265,7 +266,7 @@
 		return nil, fmt.Errorf("snapshot: %w", err)
 	}
 	s.now, s.step, s.seq, s.forgetAt, s.askAt, s.askGap = x.Now, x.Step, x.Seq, x.ForgetAt, x.AskAt, x.AskGap
-	s.logs = x.Logs
+	s.logs, s.unsure = x.Logs, x.Unsure
 	for kind, share := range x.Turned {
 		s.turned[kind] = share
 	}
--- a/logic/state.go
+++ b/logic/state.go
@@ -151,6 +151,7 @@
 	timer    Micros // when the last timer set goes off; 0 if none is out
 	askAt    Micros // when to ask for the list; never if asked
 	askGap   Micros
+	unsure   Micros // until when the list may be an old one; 0 once there was news of it
 	closeAt  Micros // when this sender stops; 0 if it does not
 	logs     int
 	many     bool            // senders
