Spread the first watches by the number of senders

Checked: the failing calls were held about 2 s, so discovery serves in turn and turns away who waits too long; the retries are spread already. Ruled out: the senders' own delay (ready within a tick).

To blame: firstWatch, 0.3 s whatever the number of senders. Now it is 25 ms for each of them: 2 s for 80, and 3 s at most, since news counts as told 6 s after a start.

--- a/internal/node/discovery.go
+++ b/internal/node/discovery.go
@@ -19,7 +19,9 @@
 	watchHold  = 20 * time.Second       // how long a watch may wait for news
 	watchSlack = time.Second            // and how much later its answer may come; changes count as told 2 s later
 	listTime   = 6 * time.Second        // for the whole list
-	firstWatch = 300 * time.Millisecond // within this a start begins to watch: many senders may start at one moment
+	firstWatch = 300 * time.Millisecond // within this a start begins to watch, at least: many may start at one moment
+	watchShare = 25 * time.Millisecond  // and within so much for each sender that there is ...
+	lastWatch  = 3 * time.Second        // ... but this at most: news counts as told 6 s after a start
 	emptyPause = 100 * time.Millisecond // between watches that are answered at once with nothing
 	maxList    = 4 << 20
 	keepGone   = time.Minute            // an endpoint off the list is remembered so long: it may come back
@@ -171,6 +173,7 @@
 	client   *http.Client
 	log      *slog.Logger
 	events   chan<- any
+	senders  int   // that ask it
 	gen      int64 // of the list that the loop has
 	started  bool  // there is such a list
 	watching bool
@@ -180,8 +183,8 @@
 	rest     time.Duration      // for an answer that has begun to come whole
 }
 
-func newDiscovery(addr string, log *slog.Logger, events chan<- any) *discovery {
-	return &discovery{addr: addr, log: log, events: events, rest: listTime, client: &http.Client{Transport: &http.Transport{
+func newDiscovery(addr string, senders int, log *slog.Logger, events chan<- any) *discovery {
+	return &discovery{addr: addr, senders: senders, log: log, events: events, rest: listTime, client: &http.Client{Transport: &http.Transport{
 		DialContext:         (&net.Dialer{Timeout: 2 * time.Second}).DialContext,
 		MaxIdleConnsPerHost: 1, MaxConnsPerHost: 4, IdleConnTimeout: 30 * time.Second}}}
 }
@@ -229,7 +232,7 @@
 		w.spare = moveTries
 	}
 	if !d.heard && d.started { // the list of the start will do for that long
-		w.spread = firstWatch
+		w.spread = d.firstSpread()
 	}
 	go func() {
 		defer stop()
@@ -237,6 +240,12 @@
 	}()
 }
 
+// firstSpread is the span within which all senders that start at one moment begin to watch. Discovery serves so many
+// a second, and turns away who waits too long.
+func (d *discovery) firstSpread() time.Duration {
+	return min(max(firstWatch, time.Duration(d.senders)*watchShare), lastWatch)
+}
+
 // watch is a row of calls, each after the last answer at once, so that nothing is
 // missed in between.
 type watch struct {
--- a/internal/node/discovery_test.go
+++ b/internal/node/discovery_test.go
@@ -28,7 +28,7 @@
 				<-r.Context().Done()
 			}
 		}))
-		d := newDiscovery("", slog.New(slog.DiscardHandler), nil)
+		d := newDiscovery("", 1, slog.New(slog.DiscardHandler), nil)
 		if !whole {
 			d.rest = 50 * time.Millisecond
 		}
@@ -43,3 +43,13 @@
 		srv.Close()
 	}
 }
+
+// Found on the day of a large herd: 56 senders that started at once all asked within 0.3 s, and half were turned away.
+func TestFirstWatchesSpreadWithTheSenders(t *testing.T) {
+	for senders, want := range map[int]time.Duration{1: firstWatch, 80: 2 * time.Second, 10000: lastWatch} {
+		d := newDiscovery("", senders, slog.New(slog.DiscardHandler), nil)
+		if got := d.firstSpread(); got != want {
+			t.Errorf("%d senders: within %v, want %v", senders, got, want)
+		}
+	}
+}
