Take no first line for an answer before it has come whole

At fault: readStatus in answer.go, which gave the status back beside the error, and the branch for 200 in readWhole, which believed it.

--- a/internal/node/answer.go
+++ b/internal/node/answer.go
@@ -53,14 +53,14 @@
 		}
 		limit.wait(headTime)
 		status, err := readStatus(r)
-		if status == http.StatusOK && body == nil { // true whatever follows
-			limit.wait(tailTime)
-			header, keep, tail := readRest(r, status, io.Discard)
-			return result{outcome: logic.Completed, load: header.Get(loadHeader)}, err == nil && tail == nil && keep
-		}
 		if err != nil {
 			return limit.broken(err), false
 		}
+		if status == http.StatusOK && body == nil { // true whatever follows
+			limit.wait(tailTime)
+			header, keep, err := readRest(r, status, io.Discard)
+			return result{outcome: logic.Completed, load: header.Get(loadHeader)}, err == nil && keep
+		}
 		if status/100 == 1 && status != http.StatusSwitchingProtocols {
 			if _, err := readHeader(r); err != nil {
 				return limit.broken(err), false
@@ -92,23 +92,22 @@
 	return result{outcome: logic.Severed}
 }
 
-// readStatus reads the first line of an answer. The status is there as soon as it
-// can be read, also if the line does not end.
+// readStatus reads the first line of an answer, however long. A line that does not end says nothing: what it
+// tells so far was not written whole, and the call may end either way.
 func readStatus(r *bufio.Reader) (int, error) {
 	line, err := r.ReadSlice('\n')
-	if errors.Is(err, bufio.ErrBufferFull) {
-		err = errSpoilt
-	}
 	text := string(line)
+	for errors.Is(err, bufio.ErrBufferFull) {
+		_, err = r.ReadSlice('\n')
+	}
+	if err != nil {
+		return 0, err
+	}
 	if len(text) < 13 || !strings.HasPrefix(text, "HTTP/1.") || !digits(text[7:8]) || text[8] != ' ' ||
 		!digits(text[9:12]) || !strings.ContainsAny(text[12:13], " \r\n") {
-		if err == nil {
-			err = fmt.Errorf("%w: first line %.40q", errSpoilt, text)
-		}
-		return 0, err
+		return 0, fmt.Errorf("%w: first line %.40q", errSpoilt, text)
 	}
-	status, _ := strconv.Atoi(text[9:12])
-	return status, err
+	return strconv.Atoi(text[9:12])
 }
 
 func digits(s string) bool {
--- a/internal/node/answer_test.go
+++ b/internal/node/answer_test.go
@@ -81,6 +81,36 @@
 	}
 }
 
+// A first line that stops short says nothing, 200 or not: a message taken for delivered on the strength of it never
+// ends. A long one that comes whole is as true as any.
+func TestFirstLineStopsShort(t *testing.T) {
+	for _, line := range []string{"HTTP/1.1 200 OK\r", "HTTP/1.1 200 O", "HTTP/1.1 200 ", "HTTP/1.1 200", "HTTP/1.1 503 x\r",
+		"HTTP/1.1 200 " + strings.Repeat("x", 8192), "HTTP/1.1 200 " + strings.Repeat("x", 8192) + "\n"} {
+		for name, end := range map[string]func(*inCall){
+			"silent": func(*inCall) {},
+			"closed": func(in *inCall) { in.conn.CloseWrite() },
+		} {
+			want := map[string]logic.Outcome{"silent": logic.Spoilt, "closed": logic.Severed}[name]
+			if strings.HasSuffix(line, "\n") {
+				want = logic.Completed
+			}
+			t.Run(fmt.Sprintf("%s, %d bytes %.16q", name, len(line), line), func(t *testing.T) {
+				t.Parallel()
+				e, c := newEndpoint(t), testCaller()
+				got := goDo(t.Context(), c, newCall(t, e.addr(), "hello", patience))
+				in := await(t, e.calls, "call")
+				io.WriteString(in.conn, line)
+				end(in)
+				if r := await(t, got, "result"); r.outcome != want {
+					t.Errorf("got %v, want %v", r.outcome, want)
+				}
+				in.awaitEnd(t)
+				in.done <- false
+			})
+		}
+	}
+}
+
 // A spoilt answer may have run: what may be repeated is sent again, at once and elsewhere too, what may not has
 // failed. What says 200 is over for every class.
 func TestSpoiltByEffect(t *testing.T) {
