--- a/internal/node/bulk.go
+++ b/internal/node/bulk.go
@@ -2,11 +2,13 @@
 
 import (
 	"bytes"
+	"cmp"
 	"context"
 	"encoding/json"
 	"errors"
 	"fmt"
 	"net/http"
+	"slices"
 	"sync"
 	"time"
 
@@ -153,6 +155,8 @@
 		}
 		return
 	}
+	// The call is known by its first message: once that one's time is up, no answer counts for the others.
+	slices.SortStableFunc(sent, func(a, b *call) int { return cmp.Compare(b.msg.Deadline, a.msg.Deadline) })
 	first.request, err = bulkRequest(sent, first.addr, first.giveUp)
 	if err != nil {
 		c.drop(conn)
--- a/internal/node/bulk_test.go
+++ b/internal/node/bulk_test.go
@@ -86,6 +86,32 @@
 	}
 }
 
+// A call is known by its first message: one that is out of time before the others would take their answers with it.
+func TestBulkLastDeadlineFirst(t *testing.T) {
+	n, e := bulkStep(t, map[string]string{"a": "x", "b": "y", "c": "z"})
+	for id, deadline := range map[string]int64{"a": 2, "b": 1, "c": 3} {
+		n.held[id].msg.Deadline = deadline
+	}
+	n.launch(t.Context())
+	in := await(t, e.calls, "call")
+	var items []bulkItem
+	if err := json.Unmarshal([]byte(in.body), &items); err != nil {
+		t.Fatal(err)
+	}
+	var got []string
+	for _, x := range items {
+		got = append(got, x.ID)
+	}
+	if !slices.Equal(got, []string{"c", "a", "b"}) {
+		t.Errorf("sent in the order %v", got)
+	}
+	bulkBody(in, `[{"id":"c","state":"failed"},{"id":"a","state":"done"},{"id":"b","state":"busy"}]`)
+	want := map[string]logic.Outcome{"a": logic.Completed, "b": logic.Full, "c": logic.Errored}
+	if got := ends(t, n, 3); !maps.Equal(got, want) {
+		t.Errorf("outcomes %v, want %v", got, want)
+	}
+}
+
 // An answer for all holds for each; of one that can't be read, any message may have run.
 func TestBulkAnswers(t *testing.T) {
 	for name, x := range map[string]struct {
