Keep a called-off message with its bulk call where no second copies are allowed

Ruled out: single calls, whose connection ends 50 ms before the outcome is told; all 7 ids followed went to a kind that takes batches.

At fault: bulk.giveUp, which settles one message while the call stays out for the others, and settings that did not read `second_copies`.

--- a/internal/node/bulk.go
+++ b/internal/node/bulk.go
@@ -67,19 +67,21 @@
 	return group, rest
 }
 
-// bulk is a call with several messages. Each has its one result: with the answer, or
-// before that if it is given up while others still wait for the answer.
+// bulk is a call with several messages. Each has its one result: with the answer, or before that if it is given up
+// while others still wait for the answer. Where no second copies are allowed a message stays with the call to its
+// end, since the result lets it be sent again; a call that all have given up ends.
 type bulk struct {
-	mu   sync.Mutex
-	open map[*call]bool // without a result
-	end  context.CancelFunc
-	tell func(*call, result)
+	mu     sync.Mutex
+	open   map[*call]bool // without a result; false once given up
+	copies bool
+	end    context.CancelFunc
+	tell   func(*call, result)
 }
 
 // settle gives in its result, unless it has one. The last one ends the call.
 func (b *bulk) settle(in *call, r result) {
 	b.mu.Lock()
-	waits := b.open[in]
+	_, waits := b.open[in]
 	delete(b.open, in)
 	last := len(b.open) == 0
 	b.mu.Unlock()
@@ -106,17 +108,35 @@
 		r.outcome = logic.RefusedConn
 	case in.state.Load() == callHeld:
 		r.outcome = logic.Moot
+	case !b.copies:
+		b.leave(in)
+		return
 	case errors.Is(why, context.DeadlineExceeded):
 		r.outcome = logic.Overdue
 	}
 	b.settle(in, r)
 }
 
+// leave notes that nothing waits for a message any more, and ends the call if it was the last one.
+func (b *bulk) leave(in *call) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if b.open[in] {
+		b.open[in] = false
+	}
+	for _, waits := range b.open {
+		if waits {
+			return
+		}
+	}
+	b.end()
+}
+
 // doBulk makes one call of several and tells each one's result. It returns when the call is over.
 func (c *caller) doBulk(ctx context.Context, group []outgoing, tell func(*call, result)) {
 	ctx, end := context.WithCancel(ctx)
 	defer end()
-	b := &bulk{open: map[*call]bool{}, end: end, tell: tell}
+	b := &bulk{open: map[*call]bool{}, copies: c.copies, end: end, tell: tell}
 	first := *group[0].call // stands for all: where it goes, how long it waits, which connection it may use
 	for _, o := range group {
 		b.open[o.call] = true
--- a/internal/node/calls.go
+++ b/internal/node/calls.go
@@ -80,6 +80,7 @@
 	settle      time.Duration
 	idleTime    time.Duration
 	perEndpoint int
+	copies      bool // a message may be sent again while a call with it is out
 	most        shares
 	relayed     *atomic.Int64 // messages written whole
 	mu          sync.Mutex
--- a/internal/node/loop.go
+++ b/internal/node/loop.go
@@ -101,6 +101,7 @@
 	n := &Node{cfg: cfg, log: log, lock: lock, follow: !set.OnRequest, sender: sender, dir: newDirectory(cfg), figures: figures,
 		caller: newCaller(span(cfg.Deploy.ConnectTimeout), span(set.ConnIdle), set.Slots, shareOut(cfg), &figures.relayed),
 		events: make(chan any, eventRoom), ready: make(chan net.Addr, 1), start: time.Now(), due: time.NewTimer(time.Hour), held: map[string]*held{}, recent: map[string]time.Time{}}
+	n.caller.copies = cfg.Deploy.SecondCopies
 	n.disc = newDiscovery(cfg.Discovery, set.Senders, log, n.events)
 	n.notices = newNotices(cfg.Discovery, log, n.events)
 	n.clients = newClients(cfg, log, n.events)
--- a/internal/wire/settings.go
+++ b/internal/wire/settings.go
@@ -45,6 +45,7 @@
 		MayCancel     bool    `json:"may_cancel"`
 		Probing       bool    `json:"probing"`
 		RetryAfter    bool    `json:"retry_after"`
+		SecondCopies  bool    `json:"second_copies"`
 	} `json:"limits"`
 	Charges struct {
 		Handshake float64 `json:"handshake"`
@@ -84,6 +85,7 @@
 	Me             int      // number of this sender
 	Zones          []string // names, in the order of logic.Entry.Zone
 	ConnectTimeout logic.Micros
+	SecondCopies   bool     // a message may be sent again while a call with it is out
 	Reports        []string // names of the values of a load report, in the order of logic.Reply.Load; nil if none come
 }
 
@@ -101,7 +103,8 @@
 		return Deployment{}, err
 	}
 	set, err := in.settings()
-	out := Deployment{Settings: set, Me: in.Me, Zones: in.Zones, ConnectTimeout: micros(in.Limits.ConnTimeout)}
+	out := Deployment{Settings: set, Me: in.Me, Zones: in.Zones, ConnectTimeout: micros(in.Limits.ConnTimeout),
+		SecondCopies: in.Limits.SecondCopies}
 	if in.Load.How != "off" {
 		out.Reports = in.Load.Names
 	}
