Begin the watch of a pushed list at once, and open a broken one anew

Ruled out: the move on SIGHUP, and late news in a running process (lists of the same change within 0.3 s of each other).

At fault: firstSpread in discovery.go, applied to both ways of discovery. Where the list is pushed, what the agent has counts as told from the first moment of a process. The spread stays for a list that is asked for, and after an agent turns calls away.

--- a/internal/node/discovery.go
+++ b/internal/node/discovery.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"io"
 	"log/slog"
@@ -16,19 +17,23 @@
 )
 
 const (
-	watchHold  = 20 * time.Second       // how long a watch may wait for news
-	watchSlack = time.Second            // and how much later its answer may come; changes count as told 2 s later
-	listTime   = 6 * time.Second        // for the whole list
-	firstWatch = 300 * time.Millisecond // within this a start begins to watch, at least: many may start at one moment
-	watchShare = 25 * time.Millisecond  // and within so much for each sender that there is ...
-	lastWatch  = 3 * time.Second        // ... but this at most: news counts as told 6 s after a start
-	emptyPause = 100 * time.Millisecond // between watches that are answered at once with nothing
+	watchHold  = 20 * time.Second        // how long a watch may wait for news
+	pushedHold = 4 * time.Second         // the same at an agent of our own: what a silent watch misses counts as told after 6 s
+	watchSlack = time.Second             // and how much later its answer may come; changes count as told 2 s later
+	listTime   = 2500 * time.Millisecond // for the whole list: after a move it counts as told 4 s later, so there is time for two calls
+	firstWatch = 300 * time.Millisecond  // within this a start begins to watch, at least: many may start at one moment
+	watchShare = 25 * time.Millisecond   // and within so much for each sender that there is ...
+	lastWatch  = 3 * time.Second         // ... but this at most: news counts as told 6 s after a start
+	emptyPause = 100 * time.Millisecond  // between watches that are answered at once with nothing
 	maxList    = 4 << 20
 	keepGone   = time.Minute            // an endpoint off the list is remembered so long: it may come back
 	moveTries  = 4                      // calls to a new address that may fail before the module is told
 	movePause  = 200 * time.Millisecond // after each
 )
 
+// errTurnedAway says that discovery has answered without a list: it may be overbooked, and wants no call at once.
+var errTurnedAway = errors.New("discovery answered")
+
 // List is discovery's answer.
 type List struct {
 	Generation int64      `json:"generation"`
@@ -166,10 +171,12 @@
 	return rows
 }
 
-// discovery asks for the list. A watch runs from its start until a call fails or
-// discovery moves. The loop owns it.
+// discovery asks for the list. Where it is asked, a watch runs from its start until calls fail or discovery moves.
+// Where the list is pushed, the address is an agent of our own: what that has counts as told from the start of the
+// process, watch or no watch, so the first one begins at once and ends only with a move. The loop owns it.
 type discovery struct {
 	addr     string
+	pushed   bool
 	client   *http.Client
 	log      *slog.Logger
 	events   chan<- any
@@ -180,11 +187,12 @@
 	heard    bool               // from discovery itself, in the life of this process
 	epoch    int                // counts the addresses
 	stop     context.CancelFunc // of the watch
+	hold     time.Duration      // of a watch
 	rest     time.Duration      // for an answer that has begun to come whole
 }
 
 func newDiscovery(addr string, senders int, log *slog.Logger, events chan<- any) *discovery {
-	return &discovery{addr: addr, senders: senders, log: log, events: events, rest: listTime, client: &http.Client{Transport: &http.Transport{
+	return &discovery{addr: addr, senders: senders, log: log, events: events, hold: watchHold, rest: listTime, client: &http.Client{Transport: &http.Transport{
 		DialContext:         (&net.Dialer{Timeout: 2 * time.Second}).DialContext,
 		MaxIdleConnsPerHost: 1, MaxConnsPerHost: 4, IdleConnTimeout: 30 * time.Second}}}
 }
@@ -231,15 +239,22 @@
 	if d.epoch > 0 && !d.started {
 		w.spare = moveTries
 	}
-	if !d.heard && d.started { // the list of the start will do for that long
-		w.spread = d.firstSpread()
-	}
+	w.spread = d.begin()
 	go func() {
 		defer stop()
 		w.run(ctx)
 	}()
 }
 
+// begin is the span within which the watch begins. What discovery has to tell after a start counts as told 6 s later,
+// and the list of the start will do for a part of that; what an agent of our own has counts as told at once.
+func (d *discovery) begin() time.Duration {
+	if d.pushed || d.heard || !d.started {
+		return 0
+	}
+	return d.firstSpread()
+}
+
 // firstSpread is the span within which all senders that start at one moment begin to watch. Discovery serves so many
 // a second, and turns away who waits too long.
 func (d *discovery) firstSpread() time.Duration {
@@ -260,11 +275,12 @@
 
 func (w *watch) run(ctx context.Context) {
 	pause(ctx, time.Duration(rand.Int64N(int64(w.spread)+1)))
+	well, said := false, false // the last answer was a list; a failure was logged
 	for ctx.Err() == nil {
 		url, limit := w.base, listTime
 		if w.started {
-			url = fmt.Sprintf("%s?from=%d&hold_ms=%d", url, w.gen, watchHold.Milliseconds())
-			limit = watchHold + watchSlack
+			url = fmt.Sprintf("%s?from=%d&hold_ms=%d", url, w.gen, w.d.hold.Milliseconds())
+			limit = w.d.hold + watchSlack
 		}
 		at := time.Now()
 		list, err := w.d.get(ctx, url, limit)
@@ -272,15 +288,26 @@
 			return
 		}
 		if err != nil {
-			w.d.log.Warn("discovery", "err", err)
-			if w.spare--; w.spare >= 0 {
-				pause(ctx, jitter(movePause))
+			if !said || !w.d.pushed { // once for a row of failures
+				w.d.log.Warn("discovery", "err", err)
+			}
+			said = true
+			away := errors.Is(err, errTurnedAway)
+			again := w.d.pushed || well && !away // one that was well has fallen silent, or broke: opened anew
+			well = false
+			if w.spare--; again || w.spare >= 0 {
+				rest := movePause
+				if away && w.d.pushed {
+					rest = w.d.firstSpread() // not all at once
+				}
+				pause(ctx, jitter(rest))
 				continue
 			}
 			w.d.events <- listEvent{err: err, epoch: w.epoch}
 			return
 		}
 		w.gen, w.started, w.spare = list.Generation, true, 0
+		well, said = true, false
 		w.d.events <- listEvent{list: list, epoch: w.epoch}
 		if len(list.Instances) == 0 && time.Since(at) < emptyPause {
 			pause(ctx, jitter(emptyPause))
@@ -304,7 +331,7 @@
 	defer time.AfterFunc(d.rest, cancel).Stop() // one that falls silent in the middle must not cost a whole watch
 	if resp.StatusCode != http.StatusOK {
 		io.Copy(io.Discard, io.LimitReader(resp.Body, maxList))
-		return list, fmt.Errorf("discovery answered %s", resp.Status)
+		return list, fmt.Errorf("%w %s", errTurnedAway, resp.Status)
 	}
 	if err := json.NewDecoder(io.LimitReader(resp.Body, maxList)).Decode(&list); err != nil {
 		return list, fmt.Errorf("read list: %w", err)
--- a/internal/node/discovery_test.go
+++ b/internal/node/discovery_test.go
@@ -1,10 +1,15 @@
 package node
 
 import (
+	"context"
 	"encoding/json"
+	"fmt"
+	"io"
 	"log/slog"
 	"net/http"
 	"net/http/httptest"
+	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 )
@@ -53,3 +58,88 @@
 		}
 	}
 }
+
+// agent answers calls for the list as a test says, one after the other, and passes on what was asked.
+func agent(t *testing.T, answers ...http.HandlerFunc) (*discovery, <-chan any, <-chan string) {
+	t.Helper()
+	asked, events, i := make(chan string, 64), make(chan any, 64), new(atomic.Int32)
+	srv := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		asked <- r.URL.RawQuery
+		k := int(i.Add(1))
+		if k > len(answers) {
+			<-r.Context().Done()
+			return
+		}
+		answers[k-1](w, r)
+	}))
+	t.Cleanup(func() { srv.CloseClientConnections(); srv.Close() })
+	d := newDiscovery(strings.TrimPrefix(srv.URL, "http://"), 1, slog.New(slog.DiscardHandler), events)
+	d.hold, d.rest = 10*time.Millisecond, 50*time.Millisecond
+	return d, events, asked
+}
+
+func sends(list List, indent string) http.HandlerFunc {
+	return func(w http.ResponseWriter, _ *http.Request) {
+		enc := json.NewEncoder(w)
+		enc.SetIndent("", indent)
+		enc.Encode(list)
+	}
+}
+
+// A watch that falls silent, stalls in a list, breaks or can't be read is opened anew, before the module need hear of
+// it: what it misses counts as told 6 s later, and the module asks again later each time. Where discovery is asked and
+// turns the next call away as well, the module is told; an agent of our own is asked until it answers.
+func TestBrokenWatchIsOpenedAnew(t *testing.T) {
+	one, two := List{Generation: 1, Reset: true}, List{Generation: 2, Reset: true, Instances: []Instance{{ID: "s-1"}}}
+	for name, breaks := range map[string]http.HandlerFunc{
+		"silent":     func(_ http.ResponseWriter, r *http.Request) { <-r.Context().Done() },
+		"unreadable": func(w http.ResponseWriter, _ *http.Request) { io.WriteString(w, "{]") },
+		"reset":      func(http.ResponseWriter, *http.Request) { panic(http.ErrAbortHandler) },
+		"stalls": func(w http.ResponseWriter, r *http.Request) {
+			io.WriteString(w, `{"generation":2,"reset":true,`)
+			w.(http.Flusher).Flush()
+			<-r.Context().Done()
+		},
+	} {
+		for _, pushed := range []bool{false, true} {
+			t.Run(fmt.Sprintf("%s, pushed %v", name, pushed), func(t *testing.T) {
+				t.Parallel()
+				away := func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusServiceUnavailable) }
+				d, events, asked := agent(t, sends(one, ""), breaks, sends(two, "  "), away, sends(one, ""))
+				d.pushed = pushed
+				ctx, stop := context.WithCancel(t.Context())
+				defer stop()
+				d.watch(ctx)
+				for _, want := range []List{one, two} {
+					ev := await(t, events, "news").(listEvent)
+					if ev.err != nil || ev.list.Generation != want.Generation || len(ev.list.Instances) != len(want.Instances) {
+						t.Fatalf("got %+v, want %+v", ev, want)
+					}
+				}
+				for i, want := range []string{"", "from=1&hold_ms=10", "from=1&hold_ms=10"} {
+					if q := await(t, asked, "call"); q != want {
+						t.Errorf("call %d: %q, want %q", i, q, want)
+					}
+				}
+				if ev := await(t, events, "what follows").(listEvent); (ev.err == nil) != pushed {
+					t.Errorf("turned away: %+v", ev)
+				}
+			})
+		}
+	}
+}
+
+// What the agent has counts as told from the first moment of a process: many senders must not wait for each other.
+// Found on roll: calls to endpoints that had gone, 1.2 to 1.8 s after restarts.
+func TestFirstWatchOfPushedListIsAtOnce(t *testing.T) {
+	for _, pushed := range []bool{false, true} {
+		d := newDiscovery("", 300, slog.New(slog.DiscardHandler), nil)
+		d.pushed, d.started = pushed, true
+		if at := d.begin(); (at == 0) != pushed {
+			t.Errorf("pushed %v: the first watch begins within %v", pushed, at)
+		}
+		if d.heard = true; d.begin() != 0 {
+			t.Error("a later one waits")
+		}
+	}
+}
--- a/internal/node/loop.go
+++ b/internal/node/loop.go
@@ -103,6 +103,9 @@
 		events: make(chan any, eventRoom), ready: make(chan net.Addr, 1), start: time.Now(), due: time.NewTimer(time.Hour), held: map[string]*held{}, recent: map[string]time.Time{}}
 	n.caller.copies = cfg.Deploy.SecondCopies
 	n.disc = newDiscovery(cfg.Discovery, set.Senders, log, n.events)
+	if !set.OnRequest {
+		n.disc.pushed, n.disc.hold = true, pushedHold
+	}
 	n.notices = newNotices(cfg.Discovery, log, n.events)
 	n.clients = newClients(cfg, log, n.events)
 	n.admin = newAdmin(log, n.clients, figures)
@@ -148,6 +151,9 @@
 	}
 	defer n.lock.Close()
 	defer n.journal.Close()
+	if n.follow {
+		n.disc.watch(work)
+	}
 	n.step(work) // what the journal holds comes first: its ends are due
 	var err error
 	if n.ln == nil {
@@ -169,9 +175,6 @@
 	}
 	n.clients.turn(serving)
 	go n.clients.serve(n.ln)
-	if n.follow {
-		n.disc.watch(work)
-	}
 	n.log.Info("ready", "name", n.cfg.Name, "addr", n.ln.Addr().String(), "held", len(n.held))
 	n.ready <- n.ln.Addr()
 	go func() {
