Give up no untried message for want of room before most of its time is gone

At fault: dispatch in logic.go, both of its ends for want of room. They hold at the door now, in the step in which a message comes, and for what is taken on after seven tenths of its time. A message that a restart finds is taken on (Past.Taken).

--- a/internal/node/loop.go
+++ b/internal/node/loop.go
@@ -323,7 +323,7 @@
 		n.held[e.ID] = &held{msg: &e.Message, tries: e.Tries, trail: trail{came: time.Now()}}
 		n.open++
 		c := n.callOf(&e.Message, now)
-		c.Past = logic.Past{Tries: e.Tries, MayRun: e.MayRun || e.Open}
+		c.Past = logic.Past{Taken: true, Tries: e.Tries, MayRun: e.MayRun || e.Open}
 		if c.Past.MayRun {
 			c.Past.Age, c.Past.Zone = logic.Micros(max(now-e.FirstMay, 0)), e.FirstZone
 		}
--- a/internal/node/process_test.go
+++ b/internal/node/process_test.go
@@ -2,9 +2,11 @@
 
 import (
 	"bufio"
+	"fmt"
 	"os"
 	"os/exec"
 	"path/filepath"
+	"slices"
 	"strings"
 	"sync"
 	"syscall"
@@ -167,6 +169,49 @@
 	e.none(t)
 }
 
+// What a restart finds taken on and untried is tried, all of it, by a process that knows nothing of latencies yet: after
+// a kill and after a stop in good order, also where the first call is refused.
+func TestRestartTriesTheUntried(t *testing.T) {
+	for name, stop := range map[string]func(*process){"kill": (*process).kill, "term": func(x *process) { x.term(); x.end() }} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			p, e, dir := newPlatform(t), newEndpoint(t), t.TempDir()
+			known := List{Generation: 1, Reset: true, Instances: instances(e)}
+			p.list = known
+			x := startProcess(t, p, dir, known)
+			c := dial(t, x.addr)
+			c.putFor("first", "unsafe", 16000, "+OK")
+			await(t, e.calls, "call").reply(429, "X-Come-Back-Ms: 60000")
+			var want []string
+			for i, class := range []string{"safe", "keyed", "unsafe", "safe", "unsafe", "keyed"} { // held back by the wait
+				id := fmt.Sprintf("untried-%d", i)
+				want = append(want, id)
+				c.putFor(id, class, 16000, "+OK")
+			}
+			stop(x)
+			e.none(t)
+			x = startProcess(t, p, dir, known)
+			refused := false
+			for got := map[string]bool{}; len(got) < len(want); {
+				in := await(t, e.calls, "call")
+				if slices.Contains(want, in.id()) {
+					got[in.id()] = true
+				}
+				if !refused {
+					refused = true
+					in.reply(503)
+				} else {
+					in.reply(200)
+				}
+			}
+			x.kill()
+			if n := len(p.notices); n != 0 {
+				t.Errorf("%d given up: %+v", n, <-p.notices)
+			}
+		})
+	}
+}
+
 // What was not sent, or refused, before a crash is sent after it, an unsafe message too; what ran out of time
 // meanwhile is returned, and a notice that nobody confirmed is sent again.
 func TestKillWithoutCallOut(t *testing.T) {
--- a/logic/logic.go
+++ b/logic/logic.go
@@ -65,6 +65,7 @@
 
 	quotaHalf  = 5 * Second // ours: half-life of a tenant's rate
 	lossAhead  = Second     // ours: loss of worth within this sets who goes first
+	tryFor     = 0.7        // protocol: part of its time for which a message taken on is tried
 	holdHalf   = 0.7        // ours: share of the hold above which messages that the pace cannot send in time end
 	holdFull   = 0.9        // ours: share of the hold above which the least worthy are refused
 	listUnsure = 6 * Second // protocol: news of the list counts as told so long after a start at the latest
@@ -239,6 +240,9 @@
 			continue
 		}
 		m.dest.rank++
+		if !s.mayEnd(m) {
+			continue
+		}
 		// What the pace cannot send in time ends now, if the hold has little room: paces and limits come back.
 		p := s.destPace(m.dest)
 		if p > 0 && m.dest.rank/p > seconds(m.deadline-s.now-s.usual(m)) && s.crowd() > holdHalf {
@@ -252,6 +256,12 @@
 	}
 }
 
+// mayEnd says whether m may end for want of room: at the door, but once it is taken on and has surely not run
+// only when most of its time is gone. Paces come back, and a restart finds many that nothing was tried for.
+func (s *Sender) mayEnd(m *msg) bool {
+	return m.mayRun || m.fresh == s.step || float64(s.now-m.came) >= tryFor*float64(m.deadline-m.came)
+}
+
 // send tries the endpoints of m's destination in rotation and reports whether one took it.
 func (s *Sender) send(m *msg) bool {
 	d := m.dest
--- a/logic/restart_test.go
+++ b/logic/restart_test.go
@@ -109,3 +109,43 @@
 		t.Errorf("called off at %v s", end)
 	}
 }
+
+// What is taken on and has surely not run is tried until most of its time is gone, however slow a pace is and however
+// full the hold: a restart finds a full hold, and its first refusal sets the pace. Room is made at the door.
+func TestTakenOnIsTried(t *testing.T) {
+	for _, taken := range []bool{true, false} { // before a restart, or a moment ago
+		set := base()
+		set.Senders, set.MaxOpen, set.ReportLeft, set.ReportLimit = 40, 20, 0, 1
+		r := newRig(t, set)
+		evs := []Event{list(2)}
+		for range 19 {
+			c := r.call(0)
+			c.Past.Taken = taken
+			evs = append(evs, c)
+		}
+		acts := only[CallOut](r.step(100, evs...))
+		var replies []Event
+		for _, c := range acts {
+			x := answer(c.ID, c.Endpoint, 0, Full)
+			x.Load = []float64{0.5, 4}
+			replies = append(replies, x)
+		}
+		if len(replies) == 0 {
+			t.Fatal("nothing is tried")
+		}
+		given := only[Refuse](r.step(100.1, replies...))
+		for at := 100.2; at < 106.9; at += 0.1 {
+			given = append(given, only[Refuse](r.step(at))...)
+		}
+		if n := len(given); n != 0 {
+			t.Errorf("taken %v: %d given up before seven tenths of their time", taken, n)
+		}
+		late := r.call(0)
+		if x := only[Refuse](r.step(106.9, late)); len(x) != 1 || x[0].ID != late.ID {
+			t.Errorf("taken %v: at the door: %v, want %s turned away", taken, x, late.ID)
+		}
+		if n := len(only[Refuse](r.step(107.1))); n < 4 {
+			t.Errorf("taken %v: %d given up once most of their time is gone", taken, n)
+		}
+	}
+}
--- a/logic/snapshot.go
+++ b/logic/snapshot.go
@@ -104,19 +104,20 @@
 }
 
 type msgState struct {
-	ID              string
-	Class           int
-	Share           float64
-	Dest            int
-	Seq             int
-	First, Deadline Micros
-	Tries, Cuts     int
-	MayRun          bool
-	FirstMay        Micros
-	MayZone         int
-	Last            int // -1 for none
-	Rest            Micros
-	Over, Flows     bool
+	ID          string
+	Class       int
+	Share       float64
+	Dest        int
+	Seq         int
+	First, Came Micros
+	Deadline    Micros
+	Tries, Cuts int
+	MayRun      bool
+	FirstMay    Micros
+	MayZone     int
+	Last        int // -1 for none
+	Rest        Micros
+	Over, Flows bool
 }
 
 type attemptState struct {
@@ -210,7 +211,7 @@
 	}
 	slices.SortFunc(over, func(a, b *msg) int { return a.seq - b.seq })
 	for _, m := range slices.Concat(s.held, over) {
-		x.Messages = append(x.Messages, msgState{m.id, m.ci, m.share, places[m.dest], m.seq, m.first, m.deadline, m.tries,
+		x.Messages = append(x.Messages, msgState{m.id, m.ci, m.share, places[m.dest], m.seq, m.first, m.came, m.deadline, m.tries,
 			m.cuts, m.mayRun, m.firstMay, m.mayZone, eps.of(m.last), m.rest, m.over, m.flows})
 	}
 	calls := map[*call]int{}
@@ -342,7 +343,7 @@
 			return errSnapshot
 		}
 		m := &msg{id: y.ID, class: &s.set.Classes[y.Class], ci: y.Class, share: y.Share, dest: s.order[y.Dest], seq: y.Seq,
-			first: y.First, deadline: y.Deadline, tries: y.Tries, cuts: y.Cuts, mayRun: y.MayRun, firstMay: y.FirstMay,
+			first: y.First, came: y.Came, deadline: y.Deadline, tries: y.Tries, cuts: y.Cuts, mayRun: y.MayRun, firstMay: y.FirstMay,
 			mayZone: y.MayZone, rest: y.Rest, over: y.Over, flows: y.Flows}
 		if y.Last >= 0 {
 			m.last = eps[y.Last]
--- a/logic/state.go
+++ b/logic/state.go
@@ -87,6 +87,8 @@
 	dest     *dest
 	seq      int
 	first    Micros // when it was first handed in
+	came     Micros // when it came to this process
+	fresh    int    // step in which it can still be turned away at the door
 	deadline Micros
 	tries    int
 	cuts     int
@@ -367,7 +369,10 @@
 	class := &s.set.Classes[c.Class]
 	s.seq++
 	m := &msg{id: c.ID, class: class, ci: c.Class, dest: s.dest(c.Dest), seq: s.seq,
-		deadline: s.now + c.Left, first: min(s.now, s.now+c.Left-class.Deadline)}
+		deadline: s.now + c.Left, first: min(s.now, s.now+c.Left-class.Deadline), came: s.now}
+	if !c.Past.Taken {
+		m.fresh = s.step
+	}
 	s.ageOut(m.dest)
 	m.dest.came++
 	m.share = s.shareOf(c.Tenant)
--- a/logic/types.go
+++ b/logic/types.go
@@ -166,6 +166,7 @@
 // Past is what became of a message before a restart; the zero value is that of a
 // new message.
 type Past struct {
+	Taken  bool   // it was taken on before the restart
 	Tries  int    // attempts made
 	MayRun bool   // one of them may have run
 	Age    Micros // time since the first that may have run was sent
