Write nothing for a call that was called off before its connection was there

Found by reading. exchange registered the cancel with context.AfterFunc, which for a context that is over already runs in a goroutine of its own; the write that follows mostly won, and the endpoint got a message that was over. It looks before it writes now.

Ruled out as the cause of the lost messages: those had been written long before their end.

--- a/internal/node/calls.go
+++ b/internal/node/calls.go
@@ -130,6 +130,9 @@
 	}
 	limit := &cutoff{conn: conn, by: deadline, linger: c.linger}
 	stop := context.AfterFunc(ctx, limit.cancel)
+	if ctx.Err() != nil { // called off before this: nothing is written, whichever comes first here
+		limit.cancel()
+	}
 	limit.wait(0)
 	if _, err := conn.Write(b.Bytes()); err != nil {
 		stop()
--- a/internal/node/calls_test.go
+++ b/internal/node/calls_test.go
@@ -176,6 +176,23 @@
 	}
 }
 
+// A connection that comes up, or is found, when its call has been called off carries nothing: the message may be over.
+func TestCalledOffBeforeTheWrite(t *testing.T) {
+	e, c := newEndpoint(t), testCaller()
+	c.settle = 0
+	ctx, cancel := context.WithCancel(t.Context())
+	cancel()
+	for range 30 {
+		got := goDo(t.Context(), c, newCall(t, e.addr(), "first", patience)) // leaves a kept connection
+		await(t, e.calls, "call").reply(200)
+		await(t, got, "result")
+		if r := c.do(ctx, newCall(t, e.addr(), "over", patience)); r.outcome != logic.RefusedConn {
+			t.Fatalf("got %+v, want RefusedConn", r)
+		}
+	}
+	e.none(t)
+}
+
 // A call that is given up must be over for the endpoint too before its outcome is told: the next attempt would be
 // a second copy.
 func TestGiveUp(t *testing.T) {
