--- a/internal/node/journal.go
+++ b/internal/node/journal.go
@@ -94,7 +94,8 @@
 	live    int64 // rough size of what a rewrite keeps
 	seq     int
 	entries map[string]*Entry
-	dirty   bool // the file lacks something that entries has: rewrite before the next append
+	dirty   bool  // the file lacks something that entries has: rewrite before the next append
+	cut     int64 // bytes that could not be read at the start: a torn end, or damage and all behind it
 }
 
 // OpenJournal replays the journal in dir, cuts a torn end off and makes it ready
@@ -144,10 +145,15 @@
 		j.apply(rec)
 		j.size += headerLen + int64(n)
 	}
+	end, err := f.Seek(0, io.SeekEnd)
+	if err != nil {
+		return err
+	}
+	j.cut = end - j.size
 	if err := f.Truncate(j.size); err != nil {
 		return err
 	}
-	_, err := f.Seek(j.size, io.SeekStart)
+	_, err = f.Seek(j.size, io.SeekStart)
 	return err
 }
 
--- a/internal/node/link.go
+++ b/internal/node/link.go
@@ -32,7 +32,7 @@
 func tryLock(dir string) (*os.File, error) {
 	f, err := os.OpenFile(filepath.Join(dir, lockName), os.O_RDWR|os.O_CREATE, 0o600)
 	if err != nil {
-		return nil, fmt.Errorf("lock: %w", err)
+		return nil, fmt.Errorf("lock of the state folder: %w", err)
 	}
 	err = syscall.Flock(int(f.Fd()), syscall.LOCK_EX|syscall.LOCK_NB)
 	if err == nil {
@@ -42,7 +42,7 @@
 	if errors.Is(err, syscall.EWOULDBLOCK) {
 		return nil, nil
 	}
-	return nil, fmt.Errorf("lock: %w", err)
+	return nil, fmt.Errorf("lock of the state folder: %w", err)
 }
 
 // inFolder calls f with the address of the socket in dir. A socket's path must be short, so it goes by way of the
--- a/internal/node/loop.go
+++ b/internal/node/loop.go
@@ -125,6 +125,9 @@
 // openJournal replays the journal. The lock must be held.
 func (n *Node) openJournal() (err error) {
 	n.journal, err = OpenJournal(n.cfg.StateDir, int64(n.cfg.Limits.DiskMB*1e6))
+	if err == nil && n.journal.cut > 0 {
+		n.log.Warn("journal: the end cannot be read and is left out", "bytes", n.journal.cut, "kept", len(n.journal.entries))
+	}
 	return err
 }
 
--- a/internal/node/process_test.go
+++ b/internal/node/process_test.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"fmt"
+	"log/slog"
 	"os"
 	"os/exec"
 	"path/filepath"
@@ -212,6 +213,56 @@
 	}
 }
 
+// A journal that is damaged is read up to the damage; the log says so, and the sender serves.
+func TestDamagedJournal(t *testing.T) {
+	p, e, dir := newPlatform(t), newEndpoint(t), t.TempDir()
+	known := List{Generation: 1, Reset: true, Instances: instances(e)}
+	p.list = known
+	x := startProcess(t, p, dir, known)
+	dial(t, x.addr).put("whole", "safe", "+OK")
+	await(t, e.calls, "call")
+	x.kill()
+	f, err := os.OpenFile(filepath.Join(dir, journalName), os.O_WRONLY|os.O_APPEND, 0)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if _, err := f.WriteString("no record of ours, and more than the head of one"); err != nil {
+		t.Fatal(err)
+	}
+	if err := f.Close(); err != nil {
+		t.Fatal(err)
+	}
+	x = launchProcess(t, p, dir, known)
+	x.says("the end cannot be read")
+	x.addr = await(t, x.ready, "ready program")
+	if in := await(t, e.calls, "call"); in.id() != "whole" {
+		t.Errorf("call with %s", in.id())
+	} else {
+		in.reply(200)
+	}
+	dial(t, x.addr).put("next", "safe", "+OK")
+	await(t, e.calls, "call").reply(200)
+	x.term()
+	x.end()
+}
+
+// Without its lock the state folder may belong to another process, and what may not be repeated might go out twice: a
+// sender that can't open it ends with a plain message and serves nobody.
+func TestNoLockNoService(t *testing.T) {
+	p, dir := newPlatform(t), t.TempDir()
+	if err := os.Mkdir(filepath.Join(dir, lockName), 0o700); err != nil {
+		t.Fatal(err)
+	}
+	cfg, err := ParseConfig(configText(p, List{}))
+	if err != nil {
+		t.Fatal(err)
+	}
+	cfg.StateDir = dir
+	if _, err := New(cfg, slog.New(slog.DiscardHandler)); err == nil || !strings.Contains(err.Error(), "state folder") {
+		t.Errorf("got %v, want an error that names the state folder's lock", err)
+	}
+}
+
 // What was not sent, or refused, before a crash is sent after it, an unsafe message too; what ran out of time
 // meanwhile is returned, and a notice that nobody confirmed is sent again.
 func TestKillWithoutCallOut(t *testing.T) {
--- a/logic/logic.go
+++ b/logic/logic.go
@@ -70,7 +70,7 @@
 	holdFull   = 0.9        // ours: share of the hold above which the least worthy are refused
 	listUnsure = 6 * Second // protocol: news of the list counts as told so long after a start at the latest
 	askGap     = Second     // ours: first pause before the list is asked for again
-	askMost    = 8 * Second // ours: and the longest
+	askMost    = 3 * Second // ours: and the longest
 	logMost    = 200        // ours: log lines in a life
 	never      = Micros(math.MaxInt64)
 	longAgo    = Micros(math.MinInt64 / 2)
--- a/logic/restart_test.go
+++ b/logic/restart_test.go
@@ -149,3 +149,22 @@
 		}
 	}
 }
+
+// News of the list counts as told 6 s after discovery has it: however often it was asked in vain, it is asked again
+// before that.
+func TestListIsAskedForInTime(t *testing.T) {
+	set := base()
+	set.OnRequest = true
+	r := newRig(t, set)
+	r.step(100, list(2))
+	at := 100.0
+	for i := range 20 {
+		next := at
+		for r.step(next, Endpoints{Form: ListFailed}); len(only[Listen](r.step(next))) == 0; next += 0.05 {
+			if next > at+5 {
+				t.Fatalf("failure %d: not asked again within 5 s", i)
+			}
+		}
+		at = next
+	}
+}
