--- /dev/null
+++ b/internal/node/crossing_test.go
@@ -0,0 +1,212 @@
+package node
+
+import (
+	"fmt"
+	"io"
+	"strings"
+	"syscall"
+	"testing"
+)
+
+// holdLock takes the lock on a state folder, as a process that owns it would, and gives it back when f is called.
+func holdLock(t *testing.T, dir string) (f func()) {
+	t.Helper()
+	lock, err := tryLock(dir)
+	if err != nil || lock == nil {
+		t.Fatalf("lock %v, %v", lock, err)
+	}
+	return func() { lock.Close() }
+}
+
+// half sends a request but for its last bytes, and returns those.
+func (c *client) half(id, class string) string {
+	c.t.Helper()
+	opts := fmt.Sprintf("c=%s,t=acme,d=10000,k=key-%s,dest=1", class, id)
+	text := fmt.Sprintf("*5\r\n$7\r\nMSG.PUT\r\n$1\r\n0\r\n$%d\r\n%s\r\n$%d\r\n%s\r\n$4\r\nbody\r\n", len(id), id, len(opts), opts)
+	if _, err := io.WriteString(c.conn, text[:len(text)-3]); err != nil {
+		c.t.Fatal(err)
+	}
+	return text[len(text)-3:]
+}
+
+// A signal may come between any two steps. SIGHUP and SIGTERM end nothing that has begun, SIGTERM ends the process
+// without an error, and after SIGKILL the next process goes on from the folder.
+func TestSignalAtEachStep(t *testing.T) {
+	signals := []syscall.Signal{syscall.SIGHUP, syscall.SIGTERM, syscall.SIGKILL}
+	// Each step leaves the sender in the middle of something, calls hit, and goes on if the process lives.
+	steps := map[string]func(t *testing.T, w *crossing, hit func(*process)){
+		"start, not the owner yet": func(t *testing.T, w *crossing, hit func(*process)) {
+			release := holdLock(t, w.dir)
+			x := launchProcess(t, w.p, w.dir, w.known)
+			x.says("waits for the owner's end")
+			hit(x)
+			release()
+			if w.lives {
+				x.addr = await(t, x.ready, "ready program")
+			}
+		},
+		"start, with a journal": func(t *testing.T, w *crossing, hit func(*process)) {
+			x := startProcess(t, w.p, w.dir, w.known)
+			dial(t, x.addr).put("m", "safe", "+OK")
+			await(t, w.e.calls, "call")
+			x.kill()
+			x = launchProcess(t, w.p, w.dir, w.known)
+			hit(x)
+			if w.sig != syscall.SIGKILL {
+				await(t, w.e.calls, "call from the journal").reply(200)
+			}
+			w.open = "m"
+		},
+		"half a request": func(t *testing.T, w *crossing, hit func(*process)) {
+			x := startProcess(t, w.p, w.dir, w.known)
+			c, watch := dial(t, x.addr), dial(t, x.addr)
+			watch.do("PING")
+			rest := c.half("m", "safe")
+			hit(x)
+			if w.sig == syscall.SIGKILL {
+				return
+			}
+			for w.sig == syscall.SIGTERM && watch.do("PING") != "-ERR stopping" { // until it is known
+			}
+			io.WriteString(c.conn, rest)
+			if got := c.line(); got != "+OK" {
+				t.Errorf("got %q", got)
+			}
+			await(t, w.e.calls, "call").reply(200)
+		},
+		"a call": func(t *testing.T, w *crossing, hit func(*process)) {
+			x := startProcess(t, w.p, w.dir, w.known)
+			dial(t, x.addr).put("m", "safe", "+OK")
+			in := await(t, w.e.calls, "call")
+			hit(x)
+			in.reply(200)
+			w.open = "m"
+		},
+		"a stop, with a call": func(t *testing.T, w *crossing, hit func(*process)) {
+			x := startProcess(t, w.p, w.dir, w.known)
+			c := dial(t, x.addr)
+			c.put("m", "safe", "+OK")
+			in := await(t, w.e.calls, "call")
+			x.term()
+			for c.line() != "" { // until it sends its clients away
+			}
+			w.lives = false
+			hit(x)
+			in.reply(200)
+			w.open = "m"
+		},
+	}
+	for name, step := range steps {
+		for _, sig := range signals {
+			t.Run(fmt.Sprintf("%s, %v", name, sig), func(t *testing.T) {
+				t.Parallel()
+				w := &crossing{p: newPlatform(t), e: newEndpoint(t), dir: t.TempDir(), sig: sig, lives: sig == syscall.SIGHUP}
+				w.known = List{Generation: 1, Reset: true, Instances: instances(w.e)}
+				w.p.list = w.known
+				var x *process
+				step(t, w, func(y *process) {
+					x = y
+					if sig == syscall.SIGKILL { // gone before anything else happens
+						x.kill()
+						return
+					}
+					if err := x.cmd.Process.Signal(sig); err != nil {
+						t.Fatal(err)
+					}
+				})
+				switch {
+				case sig == syscall.SIGKILL && w.open == "":
+				case sig == syscall.SIGKILL:
+					y := startProcess(t, w.p, w.dir, w.known)
+					if in := await(t, w.e.calls, "call again"); in.id() != w.open {
+						t.Errorf("call with %s", in.id())
+					} else {
+						in.reply(200)
+					}
+					y.term()
+					y.end()
+				case w.lives:
+					x.term()
+					x.end()
+				default:
+					x.end()
+				}
+				if ids := owed(t, w.dir); ids != nil {
+					t.Errorf("still owed: %v", ids)
+				}
+				if len(w.p.notices) != 0 {
+					t.Errorf("notice %+v", <-w.p.notices)
+				}
+			})
+		}
+	}
+}
+
+// crossing is a sender that a signal meets in the middle of something.
+type crossing struct {
+	p     *platform
+	e     *endpoint
+	dir   string
+	known List
+	sig   syscall.Signal
+	lives bool   // the process goes on after the signal
+	open  string // the message that a kill leaves in the journal
+}
+
+// A client that sends much at once and goes has handed in what came whole; the sender delivers that and serves on.
+func TestClientSendsMuchAndGoes(t *testing.T) {
+	n, c, _, e := world(t, 1)
+	var b strings.Builder
+	for i := range 5 {
+		id := fmt.Sprint("m-", i)
+		fmt.Fprintf(&b, "*5\r\n$7\r\nMSG.PUT\r\n$1\r\n0\r\n$%d\r\n%s\r\n$20\r\nc=safe,d=9000,dest=1\r\n$1\r\nx\r\n", len(id), id)
+	}
+	gone := dial(t, n.addr)
+	io.WriteString(gone.conn, b.String()+"*5\r\n$7\r\nMSG.PUT\r\n$1\r\n0\r\n$4\r\nha")
+	gone.conn.Close()
+	for got := map[string]bool{}; len(got) < 5; {
+		in := await(t, e[0].calls, "call")
+		got[in.id()] = true
+		in.reply(200)
+	}
+	c.put("next", "safe", "+OK")
+	in := await(t, e[0].calls, "call")
+	if in.id() != "next" {
+		t.Errorf("call with %s", in.id())
+	}
+	in.reply(200)
+	stopClean(t, n)
+}
+
+// What a class may do comes from its settings, not from its name, and holds beside a class of the other effect.
+func TestEffectComesFromTheSettings(t *testing.T) {
+	for _, swapped := range []bool{false, true} {
+		p, e := newPlatform(t), newEndpoint(t)
+		p.list = List{Generation: 1, Reset: true, Instances: instances(e)}
+		text := string(configText(p, p.list))
+		if swapped {
+			text = strings.NewReplacer(`"retryable"`, `"fragile"`, `"fragile"`, `"retryable"`).Replace(text)
+		}
+		n := startWith(t, text, t.TempDir())
+		c := dial(t, n.addr)
+		repeats, ends := "safe", "unsafe"
+		if swapped {
+			repeats, ends = ends, repeats
+		}
+		c.put("r", repeats, "+OK")
+		first := await(t, e.calls, "call")
+		c.put("f", ends, "+OK")
+		second := await(t, e.calls, "call")
+		second.reset()
+		if x := await(t, p.notices, "notice"); x != (Notice{ID: "f", State: "failed"}) {
+			t.Errorf("swapped %v: notice %+v", swapped, x)
+		}
+		first.reset()
+		if in := await(t, e.calls, "call again"); in.id() != "r" {
+			t.Errorf("swapped %v: call with %s", swapped, in.id())
+		} else {
+			in.reply(200)
+		}
+		stopClean(t, n)
+	}
+}
--- a/internal/node/harness_test.go
+++ b/internal/node/harness_test.go
@@ -269,7 +269,13 @@
 
 func startNode(t *testing.T, p *platform, dir string, known List, with ...func(*Node)) *testNode {
 	t.Helper()
-	cfg, err := ParseConfig(configText(p, known))
+	return startWith(t, string(configText(p, known)), dir, with...)
+}
+
+// startWith starts a sender with the text of a configuration.
+func startWith(t *testing.T, text, dir string, with ...func(*Node)) *testNode {
+	t.Helper()
+	cfg, err := ParseConfig([]byte(text))
 	if err != nil {
 		t.Fatal(err)
 	}
