--- a/internal/node/loop.go
+++ b/internal/node/loop.go
@@ -443,7 +443,9 @@
 		form = logic.ListFull
 	}
 	rows := n.dir.take(ev.list)
-	n.log.Info("list", "generation", ev.list.Generation, "whole", ev.list.Reset, "entries", len(ev.list.Instances))
+	if ev.list.Reset || len(rows) > 0 { // not each watch that ends without news
+		n.log.Info("list", "generation", ev.list.Generation, "whole", ev.list.Reset, "entries", len(ev.list.Instances))
+	}
 	n.hold(func(ep logic.EndpointID) bool {
 		i := slices.IndexFunc(rows, func(row logic.Entry) bool { return row.Endpoint == ep })
 		return i >= 0 && rows[i].State != logic.Ready || i < 0 && ev.list.Reset
