Give up a silent watch of a list that is asked for in time too

Cause: where the list is asked for, a watch was held for 20 s and given up after 21 s (watchHold, watchSlack), so that a change was heeded 21.3 s after discovery had it and could be reached. It counts as told after 6 s, whatever is allowed to a call that may wait. Only where the list is pushed was the hold 4 s (pushedHold).

Change: one hold of 4 s, so 5 s, and 0.3 s at most before the watch is opened anew. News ends all watches of a fleet at one moment, so where one discovery is asked a watch takes up to a quarter off its hold by chance: the next ones do not end in step.

TestBrokenWatchIsOpenedAnew checks the exact hold; its discovery now draws nothing off.

--- a/internal/node/discovery.go
+++ b/internal/node/discovery.go
@@ -17,14 +17,14 @@
 )
 
 const (
-	watchHold  = 20 * time.Second        // how long a watch may wait for news
-	pushedHold = 4 * time.Second         // the same at an agent of our own: what a silent watch misses counts as told after 6 s
-	watchSlack = time.Second             // and how much later its answer may come; changes count as told 2 s later
+	watchHold  = 4 * time.Second         // how long a watch may wait for news: what a silent one misses counts as told after 6 s
+	watchSlack = time.Second             // and how much later its answer may come
 	listTime   = 2500 * time.Millisecond // for the whole list: after a move it counts as told 4 s later, so there is time for two calls
-	firstWatch = 300 * time.Millisecond  // within this a start begins to watch, at least: many may start at one moment
-	watchShare = 25 * time.Millisecond   // and within so much for each sender that there is ...
-	lastWatch  = 3 * time.Second         // ... but this at most: news counts as told 6 s after a start
-	emptyPause = 100 * time.Millisecond  // between watches that are answered at once with nothing
+	dialTime   = 2 * time.Second
+	firstWatch = 300 * time.Millisecond // within this a start begins to watch, at least: many may start at one moment
+	watchShare = 25 * time.Millisecond  // and within so much for each sender that there is ...
+	lastWatch  = 3 * time.Second        // ... but this at most: news counts as told 6 s after a start
+	emptyPause = 100 * time.Millisecond // between watches that are answered at once with nothing
 	maxList    = 4 << 20
 	keepGone   = time.Minute            // an endpoint off the list is remembered so long: it may come back
 	moveTries  = 4                      // calls to a new address that may fail before the module is told
@@ -184,16 +184,17 @@
 	gen      int64 // of the list that the loop has
 	started  bool  // there is such a list
 	watching bool
-	heard    bool               // from discovery itself, in the life of this process
-	epoch    int                // counts the addresses
-	stop     context.CancelFunc // of the watch
-	hold     time.Duration      // of a watch
-	rest     time.Duration      // for an answer that has begun to come whole
+	heard    bool                   // from discovery itself, in the life of this process
+	epoch    int                    // counts the addresses
+	stop     context.CancelFunc     // of the watch
+	hold     time.Duration          // of a watch
+	rest     time.Duration          // for an answer that has begun to come whole
+	draw     func(most int64) int64 // a number below most, by chance
 }
 
 func newDiscovery(addr string, senders int, log *slog.Logger, events chan<- any) *discovery {
-	return &discovery{addr: addr, senders: senders, log: log, events: events, hold: watchHold, rest: listTime, client: &http.Client{Transport: &http.Transport{
-		DialContext:         (&net.Dialer{Timeout: 2 * time.Second}).DialContext,
+	return &discovery{addr: addr, senders: senders, log: log, events: events, hold: watchHold, rest: listTime, draw: rand.Int64N, client: &http.Client{Transport: &http.Transport{
+		DialContext:         (&net.Dialer{Timeout: dialTime}).DialContext,
 		MaxIdleConnsPerHost: 1, MaxConnsPerHost: 4, IdleConnTimeout: 30 * time.Second}}}
 }
 
@@ -233,13 +234,12 @@
 		return
 	}
 	d.watching = true
+	w := watch{d: d, base: "http://" + d.addr + "/discovery/hosts", epoch: d.epoch, gen: d.gen, started: d.started, spread: d.begin()}
 	ctx, stop := context.WithCancel(ctx)
 	d.stop = stop
-	w := watch{d: d, base: "http://" + d.addr + "/discovery/hosts", epoch: d.epoch, gen: d.gen, started: d.started}
 	if d.epoch > 0 && !d.started {
 		w.spare = moveTries
 	}
-	w.spread = d.begin()
 	go func() {
 		defer stop()
 		w.run(ctx)
@@ -274,13 +274,14 @@
 }
 
 func (w *watch) run(ctx context.Context) {
-	pause(ctx, time.Duration(rand.Int64N(int64(w.spread)+1)))
+	pause(ctx, time.Duration(w.d.draw(int64(w.spread)+1)))
 	well, said := false, false // the last answer was a list; a failure was logged
 	for ctx.Err() == nil {
 		url, limit := w.base, listTime
 		if w.started {
-			url = fmt.Sprintf("%s?from=%d&hold_ms=%d", url, w.gen, w.d.hold.Milliseconds())
-			limit = w.d.hold + watchSlack
+			hold := w.hold()
+			url = fmt.Sprintf("%s?from=%d&hold_ms=%d", url, w.gen, hold.Milliseconds())
+			limit = hold + watchSlack
 		}
 		at := time.Now()
 		list, err := w.d.get(ctx, url, limit)
@@ -300,7 +301,7 @@
 				if away && w.d.pushed {
 					rest = w.d.firstSpread() // not all at once
 				}
-				pause(ctx, jitter(rest))
+				pause(ctx, rest/2+time.Duration(w.d.draw(int64(rest))))
 				continue
 			}
 			w.d.events <- listEvent{err: err, epoch: w.epoch}
@@ -315,6 +316,15 @@
 	}
 }
 
+// hold is how long the next watch may wait. News answers the watches of all senders at one moment, and the next begin
+// in step: where they ask one discovery, those must not end in step too.
+func (w *watch) hold() time.Duration {
+	if w.d.pushed {
+		return w.d.hold
+	}
+	return w.d.hold - time.Duration(w.d.draw(int64(w.d.hold/4)))
+}
+
 func (d *discovery) get(ctx context.Context, url string, limit time.Duration) (List, error) {
 	var list List
 	ctx, cancel := context.WithTimeout(ctx, limit)
--- a/internal/node/discovery_test.go
+++ b/internal/node/discovery_test.go
@@ -74,7 +74,7 @@
 	}))
 	t.Cleanup(func() { srv.CloseClientConnections(); srv.Close() })
 	d := newDiscovery(strings.TrimPrefix(srv.URL, "http://"), 1, slog.New(slog.DiscardHandler), events)
-	d.hold, d.rest = 10*time.Millisecond, 50*time.Millisecond
+	d.hold, d.rest, d.draw = 10*time.Millisecond, 50*time.Millisecond, func(int64) int64 { return 0 }
 	return d, events, asked
 }
 
--- a/internal/node/loop.go
+++ b/internal/node/loop.go
@@ -103,9 +103,7 @@
 		events: make(chan any, eventRoom), ready: make(chan net.Addr, 1), start: time.Now(), due: time.NewTimer(time.Hour), held: map[string]*held{}, recent: map[string]time.Time{}}
 	n.caller.copies = cfg.Deploy.SecondCopies
 	n.disc = newDiscovery(cfg.Discovery, set.Senders, log, n.events)
-	if !set.OnRequest {
-		n.disc.pushed, n.disc.hold = true, pushedHold
-	}
+	n.disc.pushed = !set.OnRequest
 	n.notices = newNotices(cfg.Discovery, log, n.events)
 	n.clients = newClients(cfg, log, n.events)
 	n.admin = newAdmin(log, n.clients, figures)
