Let only the first watch of a process wait for its turn

Cause: where the list is asked for, begin spread each watch over 3 s until discovery had answered one. After a start while discovery is down, each pause of the module (4.5 s at most) was followed by up to 3 s more: 7.5 s after a refused call, when news counts as told after 6 s.

Change: a watch that follows another one begins at once (d.stop in begin); the pause after a failed call is spread by itself. 4.5 s now after a call that was refused.

--- a/internal/node/discovery.go
+++ b/internal/node/discovery.go
@@ -247,9 +247,10 @@
 }
 
 // begin is the span within which the watch begins. What discovery has to tell after a start counts as told 6 s later,
-// and the list of the start will do for a part of that; what an agent of our own has counts as told at once.
+// and the list of the start will do for a part of that; what an agent of our own has counts as told at once. Only the
+// first watch waits: a later one follows a call that failed, and the pause after that.
 func (d *discovery) begin() time.Duration {
-	if d.pushed || d.heard || !d.started {
+	if d.pushed || d.heard || !d.started || d.stop != nil {
 		return 0
 	}
 	return d.firstSpread()
--- a/internal/node/discovery_test.go
+++ b/internal/node/discovery_test.go
@@ -143,3 +143,20 @@
 		}
 	}
 }
+
+// Only the first watch of a process waits for its turn: one after a failed call has waited by then, and news would
+// count as told before it.
+func TestOnlyTheFirstWatchWaits(t *testing.T) {
+	ctx, stop := context.WithCancel(t.Context())
+	stop()
+	d := newDiscovery("", 300, slog.New(slog.DiscardHandler), make(chan any, 1))
+	d.started = true
+	if d.begin() == 0 {
+		t.Error("the first one does not wait")
+	}
+	d.watch(ctx)
+	d.takes(listEvent{err: io.EOF})
+	if at := d.begin(); at != 0 {
+		t.Errorf("the next one begins within %v", at)
+	}
+}
