Count the time of a failed call to discovery towards the pause after it

Cause: the pauses after failed calls were bounded, the sums were not. Where the list is asked for, the module waited up to 4.5 s after a call that itself took 2 s (no connection, turned away late), 2.5 s (a list that stops) or as long as a watch. Where it is pushed, one that was turned away waited up to 4.5 s, however late it had been: 9.5 s. News counts as told 6 s after discovery had it and could be reached.

Change: from the start of a call that fails to that of the next it is 5.4 s at most: nextCall in watch.rest, and askWithin in the module, which is told what the call took (Endpoints.Took).

Measured in a bubble, time exact, each draw the longest but for the module's: told 5.4 s at most after discovery could be reached, over eight faults, first calls, watches and SIGHUP, lists asked for and pushed. The module's own bound is held to 200 seeds by TestLongCallIsFollowedSooner.

--- a/internal/node/discovery.go
+++ b/internal/node/discovery.go
@@ -21,10 +21,11 @@
 	watchSlack = time.Second             // and how much later its answer may come
 	listTime   = 2500 * time.Millisecond // for the whole list: after a move it counts as told 4 s later, so there is time for two calls
 	dialTime   = 2 * time.Second
-	firstWatch = 300 * time.Millisecond // within this a start begins to watch, at least: many may start at one moment
-	watchShare = 25 * time.Millisecond  // and within so much for each sender that there is ...
-	lastWatch  = 3 * time.Second        // ... but this at most: news counts as told 6 s after a start
-	emptyPause = 100 * time.Millisecond // between watches that are answered at once with nothing
+	nextCall   = 5400 * time.Millisecond // from a call that fails to the next, counted from their starts: news counts as told after 6 s
+	firstWatch = 300 * time.Millisecond  // within this a start begins to watch, at least: many may start at one moment
+	watchShare = 25 * time.Millisecond   // and within so much for each sender that there is ...
+	lastWatch  = 3 * time.Second         // ... but this at most: news counts as told 6 s after a start
+	emptyPause = 100 * time.Millisecond  // between watches that are answered at once with nothing
 	maxList    = 4 << 20
 	keepGone   = time.Minute            // an endpoint off the list is remembered so long: it may come back
 	moveTries  = 4                      // calls to a new address that may fail before the module is told
@@ -56,7 +57,8 @@
 type listEvent struct {
 	list  List
 	err   error
-	epoch int // of the address that it comes from
+	took  time.Duration // by the call that failed
+	epoch int           // of the address that it comes from
 }
 
 // directory maps the list's names to the module's numbers. The loop owns it.
@@ -298,14 +300,10 @@
 			again := w.d.pushed || well && !away // one that was well has fallen silent, or broke: opened anew
 			well = false
 			if w.spare--; again || w.spare >= 0 {
-				rest := movePause
-				if away && w.d.pushed {
-					rest = w.d.firstSpread() // not all at once
-				}
-				pause(ctx, rest/2+time.Duration(w.d.draw(int64(rest))))
+				w.rest(ctx, nextCall-time.Since(at), away)
 				continue
 			}
-			w.d.events <- listEvent{err: err, epoch: w.epoch}
+			w.d.events <- listEvent{err: err, took: time.Since(at), epoch: w.epoch}
 			return
 		}
 		w.gen, w.started, w.spare = list.Generation, true, 0
@@ -326,6 +324,16 @@
 	return w.d.hold - time.Duration(w.d.draw(int64(w.d.hold/4)))
 }
 
+// rest waits after a call that failed, for no longer than left. What is too much for who answers is asked again over
+// the span of a start.
+func (w *watch) rest(ctx context.Context, left time.Duration, away bool) {
+	rest := movePause
+	if away && w.d.pushed {
+		rest = max(min(w.d.firstSpread(), left*2/3), movePause) // a half more by chance
+	}
+	pause(ctx, rest/2+time.Duration(w.d.draw(int64(rest))))
+}
+
 func (d *discovery) get(ctx context.Context, url string, limit time.Duration) (List, error) {
 	var list List
 	ctx, cancel := context.WithTimeout(ctx, limit)
--- a/internal/node/loop.go
+++ b/internal/node/loop.go
@@ -433,7 +433,7 @@
 		return
 	}
 	if ev.err != nil {
-		n.next = append(n.next, logic.Endpoints{Form: logic.ListFailed})
+		n.next = append(n.next, logic.Endpoints{Form: logic.ListFailed, Took: micros(ev.took)})
 		return
 	}
 	form := logic.ListDelta
--- a/internal/node/told_test.go
+++ b/internal/node/told_test.go
@@ -61,6 +61,7 @@
 
 // dial makes a connection, as the network would.
 func (s *station) dial(ctx context.Context) (net.Conn, error) {
+	here, there := net.Pipe()
 	switch fault, _, _ := s.look(); fault {
 	case "refuses":
 		s.struck <- struct{}{}
@@ -69,8 +70,17 @@
 		s.struck <- struct{}{}
 		pause(ctx, dialTime)
 		return nil, errors.Join(os.ErrDeadlineExceeded, ctx.Err())
+	case "creeps": // each step takes its time, and the last one does not come
+		s.struck <- struct{}{}
+		pause(ctx, dialTime-100*time.Millisecond)
+		go func() {
+			defer there.Close()
+			if _, err := http.ReadRequest(bufio.NewReader(there)); err == nil {
+				s.strike(there, fault)
+			}
+		}()
+		return here, nil
 	}
-	here, there := net.Pipe()
 	go s.serve(there)
 	return here, nil
 }
@@ -118,6 +128,9 @@
 	switch fault {
 	case "refuses", "resets":
 		return false
+	case "creeps":
+		pause(context.Background(), 300*time.Millisecond)
+		fallthrough
 	case "stops": // in the middle of a list
 		fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nContent-Length: 900\r\n\r\n{\"generation\":2,")
 	case "turns away late":
@@ -309,12 +322,13 @@
 // it could be reached is heeded 6 s later, with the longest of all pauses and the call before it begun just then.
 func TestChangeIsHeededAfterAnyFailure(t *testing.T) {
 	for _, pushed := range []bool{false, true} {
-		for _, at := range []string{"watch"} {
-			for _, fault := range []string{"refuses", "resets", "silent", "stops", "turns away", "vanishes"} {
+		for _, at := range []string{"first call", "watch", "SIGHUP"} {
+			for _, fault := range []string{"refuses", "resets", "silent", "stops", "turns away", "turns away late", "vanishes", "creeps"} {
 				t.Run(fmt.Sprintf("pushed %v, %s, %s", pushed, at, fault), func(t *testing.T) {
 					t.Parallel()
 					var longest time.Duration
-					for _, calls := range []int{0} {
+					counts := map[string][]int{"first call": {1, 2, 6}, "watch": {0, 1, 2, 6}, "SIGHUP": {1, moveTries + 1, 3 * (moveTries + 1)}}
+					for _, calls := range counts[at] {
 						for seed := range map[bool]int{false: 2, true: 1}[pushed] { // only the module draws by it
 							synctest.Test(t, func(t *testing.T) {
 								longest = max(longest, play{pushed, at, fault, calls, seed}.run(t))
--- a/logic/logic.go
+++ b/logic/logic.go
@@ -71,6 +71,7 @@
 	listUnsure = 6 * Second // protocol: news of the list counts as told so long after a start at the latest
 	askGap     = Second     // ours: first pause before the list is asked for again
 	askMost    = 3 * Second // ours: and the longest
+	askWithin  = 5_400_000  // ours: from a request in vain to the next, from start to start
 	logMost    = 200        // ours: log lines in a life
 	never      = Micros(math.MaxInt64)
 	longAgo    = Micros(math.MinInt64 / 2)
@@ -115,8 +116,10 @@
 
 func (s *Sender) list(ev Endpoints) {
 	if ev.Form == ListFailed {
-		// Asked in vain or subscription broken: ask again, later each time, and not when all others do.
-		s.askAt = s.now + Micros((0.5+s.rng.Float64())*float64(s.askGap))
+		// Asked in vain or subscription broken: ask again, later each time, and not when all others do. News counts
+		// as told 6 s later, so what the request took counts too; the longest pause is one and a half gaps.
+		gap := min(s.askGap, max(askWithin-ev.Took, 0)*2/3)
+		s.askAt = s.now + Micros((0.5+s.rng.Float64())*float64(gap))
 		s.askGap = min(2*s.askGap, askMost)
 		return
 	}
--- a/logic/restart_test.go
+++ b/logic/restart_test.go
@@ -168,3 +168,27 @@
 		at = next
 	}
 }
+
+// The time that a call in vain took counts as well: from its start to the next call it is 5.4 s at most, whatever the
+// draw, and the calls of many senders stay apart.
+func TestLongCallIsFollowedSooner(t *testing.T) {
+	for _, took := range []Micros{0, Second, 2 * Second, 2_500_000, 5 * Second, 7 * Second} {
+		at := map[Micros]bool{}
+		for seed := range uint64(200) {
+			s, err := New(base(), seed)
+			if err != nil {
+				t.Fatal(err)
+			}
+			for range 8 {
+				acts := s.Step(0, []Event{Endpoints{Form: ListFailed, Took: took}})
+				if wait := s.askAt; len(only[Listen](acts)) == 0 && wait > max(5_400_000-took, 0) {
+					t.Fatalf("a call of %v s: the next %v s after its end", seconds(took), seconds(wait))
+				}
+			}
+			at[s.askAt/50_000] = true
+		}
+		if want := max(5_400_000-took, 0) / 300_000; Micros(len(at)) < want {
+			t.Errorf("after calls of %v s, 200 senders ask at %d different times, want %d", seconds(took), len(at), want)
+		}
+	}
+}
--- a/logic/types.go
+++ b/logic/types.go
@@ -150,6 +150,7 @@
 type Endpoints struct {
 	Form    ListForm
 	Entries []Entry
+	Took    Micros // by a request that failed: since then there may be news
 }
 
 // Call is a new message, or one that this sender had before a restart.
