Bring a fleet back over some seconds after discovery broke all its watches

Cause: where the list is asked for, a watch that was well and broke was opened anew within 0.3 s. Discovery that goes breaks all watches at one moment, and is asked by all senders at once as it comes back.

Change: such a call comes within the span in which a fleet begins to watch (firstSpread, give or take half), and within 5.4 s of the start of the watch, as ever. An agent of our own is still asked at once.

Measured in a bubble, 300 senders: 300 calls within 6 s of the break, none of these seconds with over 150; all 300 in the first second before, as run. Without !w.d.pushed in watch.rest TestFleetComesBackApart fails.

Left: net/http tries a GET once more by itself, at once, when a kept connection broke. So 300 calls still come within 0.1 s of the break, to an address that has just gone.

--- a/internal/node/discovery.go
+++ b/internal/node/discovery.go
@@ -324,11 +324,11 @@
 	return w.d.hold - time.Duration(w.d.draw(int64(w.d.hold/4)))
 }
 
-// rest waits after a call that failed, for no longer than left. What is too much for who answers is asked again over
-// the span of a start; a new address, soon.
+// rest waits after a call that failed, for no longer than left. What fails for all senders at once, or is too much for
+// who answers them, is asked again over the span of a start; an agent of our own and a new address, soon.
 func (w *watch) rest(ctx context.Context, left time.Duration, away bool) {
 	rest := movePause
-	if w.spare < 0 && away && w.d.pushed {
+	if w.spare < 0 && (away || !w.d.pushed) {
 		rest = max(min(w.d.firstSpread(), left*2/3), movePause) // a half more by chance
 	}
 	pause(ctx, rest/2+time.Duration(w.d.draw(int64(rest))))
--- a/internal/node/told_test.go
+++ b/internal/node/told_test.go
@@ -394,6 +394,22 @@
 	})
 }
 
+// Discovery goes, and breaks all watches. Go's client tries a kept connection that broke once more at once; from then
+// on the fleet comes back over some seconds, and not all at once.
+func TestFleetComesBackApart(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newStation(List{Generation: 1, Reset: true}, "")
+		fleet(t, s, 300)
+		s.now("refuses", List{Generation: 1, Reset: true})
+		for range 600 {
+			await(t, s.struck, "watch that breaks")
+		}
+		if most, all := fullest(s.struck, time.Second, 6); most > 150 || all != 300 {
+			t.Errorf("%d calls, %d of them within a second", all, most)
+		}
+	})
+}
+
 // Over real sockets: a watch falls silent, and the next call finds an endpoint that drains.
 func TestSilentWatchOnSockets(t *testing.T) {
 	for _, mode := range []string{"on_request", "pushed"} {
