--- a/internal/node/loop.go
+++ b/internal/node/loop.go
@@ -48,6 +48,18 @@
 	trail trail
 }
 
+// stages is what a start spends its time on, for the line that says that it is ready.
+type stages struct {
+	since time.Time
+	spent []any // names and milliseconds
+}
+
+func (s *stages) done(name string) {
+	now := time.Now()
+	s.spent = append(s.spent, name, now.Sub(s.since).Milliseconds())
+	s.since = now
+}
+
 // Node is one sender.
 type Node struct {
 	cfg     *Config
@@ -73,6 +85,7 @@
 	due     *time.Timer // the module's
 	token   uint64
 	start   time.Time
+	stages  stages
 	held    map[string]*held
 	open    int                  // of held, those not over
 	recent  map[string]time.Time // ids that were taken on and are over, until their time is up
@@ -92,15 +105,17 @@
 	if err != nil {
 		return nil, err
 	}
+	spent := stages{since: time.Now()}
 	lock, err := tryLock(cfg.StateDir)
 	if err != nil {
 		return nil, err
 	}
+	spent.done("lock")
 	figures := newFigures(cfg)
 	// The module asks for the list only where it must, and anywhere after a failed call.
 	n := &Node{cfg: cfg, log: log, lock: lock, follow: !set.OnRequest, sender: sender, dir: newDirectory(cfg), figures: figures,
 		caller: newCaller(span(cfg.Deploy.ConnectTimeout), span(set.ConnIdle), set.Slots, shareOut(cfg), &figures.relayed),
-		events: make(chan any, eventRoom), ready: make(chan net.Addr, 1), start: time.Now(), due: time.NewTimer(time.Hour), held: map[string]*held{}, recent: map[string]time.Time{}}
+		events: make(chan any, eventRoom), ready: make(chan net.Addr, 1), start: time.Now(), stages: spent, due: time.NewTimer(time.Hour), held: map[string]*held{}, recent: map[string]time.Time{}}
 	n.caller.copies = cfg.Deploy.SecondCopies
 	n.disc = newDiscovery(cfg.Discovery, set.Senders, log, n.events)
 	n.disc.pushed = !set.OnRequest
@@ -126,6 +141,7 @@
 	if err == nil && n.journal.cut > 0 {
 		n.log.Warn("journal: the end cannot be read and is left out", "bytes", n.journal.cut, "kept", len(n.journal.entries))
 	}
+	n.stages.done("journal")
 	return err
 }
 
@@ -156,6 +172,7 @@
 		n.disc.watch(work)
 	}
 	n.step(work) // what the journal holds comes first: its ends are due
+	n.stages.done("step")
 	var err error
 	if n.ln == nil {
 		if n.ln, err = net.Listen("tcp", n.cfg.Listen); err != nil {
@@ -176,7 +193,8 @@
 	}
 	n.clients.turn(serving)
 	go n.clients.serve(n.ln)
-	n.log.Info("ready", "name", n.cfg.Name, "addr", n.ln.Addr().String(), "held", len(n.held))
+	n.stages.done("listen")
+	n.log.Info("ready", "name", n.cfg.Name, "addr", n.ln.Addr().String(), "held", len(n.held), slog.Group("ms", n.stages.spent...))
 	n.ready <- n.ln.Addr()
 	go func() {
 		select {
--- a/internal/node/process_test.go
+++ b/internal/node/process_test.go
@@ -43,8 +43,10 @@
 	admin string // where operators call
 	conf  string // its configuration file
 	done  chan error
-	said  chan string // its log
-	ready chan string // the address of clients, once they are served
+	said  chan string   // its log
+	ready chan string   // the address of clients, once they are served
+	asked chan string   // the address of operators
+	took  time.Duration // from its start to ready; set before ready is sent
 }
 
 // startProcess starts it and waits until it serves.
@@ -55,15 +57,23 @@
 	return x
 }
 
-// launchProcess starts it with what the platform would tell it.
+// launchProcess starts it with what the platform would tell it, and waits until it can be asked and signalled.
 func launchProcess(t *testing.T, p *platform, dir string, known List) *process {
+	t.Helper()
+	x := execProcess(t, p, dir, configText(p, known))
+	x.admin = await(t, x.asked, "operators' address")
+	return x
+}
+
+// execProcess starts it with the text of a configuration, and does not wait.
+func execProcess(t *testing.T, p *platform, dir string, text []byte) *process {
 	t.Helper()
 	path, err := program()
 	if err != nil {
 		t.Fatal(err)
 	}
 	config := filepath.Join(t.TempDir(), "config.json")
-	if err := os.WriteFile(config, configText(p, known), 0o600); err != nil {
+	if err := os.WriteFile(config, text, 0o600); err != nil {
 		t.Fatal(err)
 	}
 	cmd := exec.Command(path)
@@ -73,13 +83,13 @@
 	if err != nil {
 		t.Fatal(err)
 	}
+	begun := time.Now()
 	if err := cmd.Start(); err != nil {
 		t.Fatal(err)
 	}
 	x := &process{t: t, cmd: cmd, conf: config, done: make(chan error, 1), said: make(chan string, 4096),
-		ready: make(chan string, 1)}
+		ready: make(chan string, 1), asked: make(chan string, 1)}
 	t.Cleanup(func() { cmd.Process.Kill() })
-	admin := make(chan string, 1)
 	go func() {
 		for s := bufio.NewScanner(logs); s.Scan(); {
 			x.said <- s.Text()
@@ -87,14 +97,14 @@
 			addr, _, _ := strings.Cut(rest, " ")
 			switch {
 			case strings.Contains(s.Text(), "msg=ready "):
+				x.took = time.Since(begun)
 				x.ready <- addr
 			case strings.Contains(s.Text(), "msg=operators "):
-				admin <- addr
+				x.asked <- addr
 			}
 		}
 		x.done <- cmd.Wait()
 	}()
-	x.admin = await(t, admin, "operators' address")
 	return x
 }
 
@@ -372,3 +382,19 @@
 	}
 	x.kill()
 }
+
+// lines are those that it has logged so far.
+func (x *process) lines() func(yield func(string) bool) {
+	return func(yield func(string) bool) {
+		for {
+			select {
+			case line := <-x.said:
+				if !yield(line) {
+					return
+				}
+			default:
+				return
+			}
+		}
+	}
+}
