Send keyed messages again up to the end of their window, also one of 1 s

The window for repeats may be as short as 1 s. endHopeless wanted the usual time of a whole call to be left of it, so a keyed message that may have run was failed while its window was open: with answers that take 0.8 s, 0.1 s after its first send. The window is one for the send, not for the answer.

--- a/logic/logic.go
+++ b/logic/logic.go
@@ -1005,7 +1005,8 @@
 		if m.out == nil {
 			need = max(need, s.usual(m))
 			if m.mayRun && m.class.Effect == Keyed {
-				left = min(left, m.firstMay+m.class.Window-s.now)
+				// It has to be sent within its window, not answered.
+				left = min(left, m.firstMay+m.class.Window-s.now+need-last)
 			}
 		}
 		if left <= need {
