Call a keyed call off only while it can be sent again, and in short windows too

A keyed message whose window is over can't be sent again. cutLong called its call off all the same once the endpoint had fallen silent, which failed it, though an answer might come; and where calls can't be called off they timed out early to the same end. Only mayRestart asked for the window, and took a second off it: of a window of 1 s nothing was left, so no call was ever called off at tau.

lastTry is now asked by cutLong for both its paths (which thereby treats such a call as one of an unsafe message: it gives up the last slot only), with the lesser of a second and a quarter of the window, so windows of 4 s and more keep their second. launch shortens the time of a call that can't be called off only where it can be sent again after that.

Taken out, as run: lastTry in cutLong (back to Unsafe alone) fails TestLastTryIsNotCalledOff and TestCutWithinAShortWindow; the quarter of the window fails TestCutWithinAShortWindow; the condition in launch fails TestLastTryHasAllItsTime.

--- a/logic/logic.go
+++ b/logic/logic.go
@@ -20,6 +20,7 @@
 	minWeight  = 4.0         // ours: samples before a histogram is believed
 	tauWeight  = 12.0        // ours: samples before τ is; an early τ cuts healthy calls
 	tauGain    = 0.85        // ours: ⟨t⟩ at τ must be under this part of ⟨t⟩ of waiting; noise reaches 0.9
+	againTime  = Second      // ours: to call a keyed call off and send it again; a quarter of a shorter window
 	maxCuts    = 2           // ours: restarts of one message; each doubles the next limit
 	stuckTimes = 2.0         // ours: a call is stuck past this many times the 95th percentile ...
 	stuckLeast = Second / 2  // ours: ... and this
@@ -327,8 +328,9 @@
 		}
 	}
 	a, give := s.fly(m, e), m.deadline-s.now
-	if !s.set.MayCancel && m.class.Effect != Unsafe {
-		give = min(give, 2*s.stuckAfter(e.dest, m)) // nothing can be called off here: let it time out
+	if t := 2 * s.stuckAfter(e.dest, m); !s.set.MayCancel && (m.class.Effect == Safe ||
+		m.class.Effect == Keyed && s.now+t < m.firstMay+m.class.Window) {
+		give = min(give, t) // nothing can be called off here: let it time out, if it can be sent again then
 	}
 	s.do(CallOut{ID: a.m.id, GiveUp: give, Endpoint: e.id})
 	s.at(s.now + s.stuckAfter(e.dest, m) + 1) // looked at in time even if nothing else happens until then
@@ -676,7 +678,7 @@
 		if a.m.over || !s.set.MayCancel {
 			continue
 		}
-		if a.m.class.Effect == Unsafe {
+		if s.lastTry(a.m) {
 			if age > patience*stuck && (oldest == nil || a.at < oldest.at) {
 				oldest = a
 			}
@@ -703,7 +705,7 @@
 			}
 		}
 	}
-	// An unsafe call cannot be sent again, so it may wait; but not with the last slot, while others could go.
+	// What cannot be sent again may wait; but not with the last slot, while others could go.
 	if oldest != nil && s.busy >= s.set.Slots && s.set.Slots > 0 {
 		for _, m := range s.held {
 			if m.out == nil && m.dest != oldest.m.dest {
@@ -714,6 +716,13 @@
 	}
 }
 
+// lastTry says whether a call that is out is the last that m may have: called off it fails, left it may be
+// answered.
+func (s *Sender) lastTry(m *msg) bool {
+	c := m.class
+	return c.Effect == Unsafe || c.Effect == Keyed && s.now > m.firstMay+c.Window-min(againTime, c.Window/4)
+}
+
 // mayRestart: a restart must have attempts and time left, and must not add to the load of a destination that
 // refuses or recovers, unless the call holds one of the last slots.
 func (s *Sender) mayRestart(a *attempt) bool {
@@ -724,9 +733,6 @@
 	if s.busy < s.set.Slots && (e.lane.pace > 0 || e.cold) {
 		return false
 	}
-	if m.class.Effect == Keyed && s.now > m.firstMay+m.class.Window-Second {
-		return false
-	}
 	return m.deadline-s.now > 2*max(s.usual(m), e.dest.hist.tau)
 }
 
--- a/logic/window_test.go
+++ b/logic/window_test.go
@@ -79,3 +79,70 @@
 		t.Errorf("at the end of its window: %v", acts)
 	}
 }
+
+// A call that is cut off at τ needs time to be sent again. Of a short window that must not be all.
+func TestCutWithinAShortWindow(t *testing.T) {
+	for window, cut := range map[Micros]bool{Second: true, sec(0.4): false} {
+		set := shortWindow()
+		set.Classes[1].Window = window
+		r := newRig(t, set)
+		r.step(0, list(1))
+		d := r.s.dest(9)
+		feed(&d.hist, 20, 0.02)
+		feed(&d.hist, 2, 5) // a slow few: restarting pays
+		if d.hist.tau == 0 {
+			t.Fatal("no tau")
+		}
+		m, beside := r.call(1), r.call(0)
+		r.step(10, m, beside)
+		r.step(10.1, answer(beside.ID, 1, 0, Completed)) // the endpoint answers: the call alone is slow
+		d.hist.p95, d.hist.median = d.hist.tau, sec(0.02)
+		acts := r.step(10.51, Due{}) // past the least time for a cut
+		if n := len(only[Cancel](acts)); (n == 1) != cut {
+			t.Errorf("window %d: %d called off", window, n)
+		}
+	}
+}
+
+// A keyed call whose window is over can't be sent again: called off it would fail, so it is left to be answered, as an
+// unsafe one is. A safe one is called off and goes elsewhere.
+func TestLastTryIsNotCalledOff(t *testing.T) {
+	for class, off := range []bool{true, false, false} {
+		r := newRig(t, shortWindow())
+		r.step(0, list(2))
+		m := r.call(class)
+		acts := r.step(10, m)
+		at := 10.0
+		for range 12 { // to 5.4 s, well past what makes a call stuck where no latency is known
+			at += 0.45
+			acts = append(acts, r.step(at, Due{})...)
+		}
+		if n := len(only[Cancel](acts)); (n == 1) != off {
+			t.Errorf("class %d: %d called off", class, n)
+		}
+		if !off {
+			if acts := r.step(at, answer(m.ID, only[CallOut](acts)[0].Endpoint, 0, Completed)); len(only[Fail](acts)) != 0 {
+				t.Errorf("class %d: %v", class, acts)
+			}
+		}
+	}
+}
+
+// Where nothing can be called off a call times out early, to be sent again; one that could not be has all its time.
+func TestLastTryHasAllItsTime(t *testing.T) {
+	for _, x := range []struct {
+		class  int
+		window Micros
+		early  bool
+	}{{0, Second, true}, {1, 8 * Second, true}, {1, Second, false}, {2, Second, false}} {
+		set := shortWindow()
+		set.MayCancel, set.Classes[1].Window = false, x.window
+		r := newRig(t, set)
+		r.step(0, list(1))
+		m := r.call(x.class)
+		out := only[CallOut](r.step(10, m))
+		if len(out) != 1 || (out[0].GiveUp < m.Left) != x.early {
+			t.Errorf("class %d, window %d: %v, with %d left", x.class, x.window, out, m.Left)
+		}
+	}
+}
