End clients' connections by a lingering close, so that no answer is lost

A close over unread input resets the connection, and what the system has not sent yet goes with it. Sessions ended so whenever no error line was the last word: between requests, at the idle time, in a drain and a shutdown. A request that came in that instant cost a slow reader the answers before it: in TestAnswersOutliveTheClose 67584 of 96216 bytes arrived.

Every session now ends its sending side, reads on until the client has closed too, 500 ms or 1 MB at most, and closes then (the old linger, which is named lingeringClose now, the standard term). What is read there goes nowhere: nobody could be told what became of it. A connection that is closed to make room for another is still closed at once. A shutdown can take up to 500 ms longer where clients do not close; the tests do not.

The steps of TestSignalAtEachStep have half a line of an endpoint's answer too; that was kept already.

--- /dev/null
+++ b/internal/node/close_test.go
@@ -0,0 +1,147 @@
+package node
+
+import (
+	"fmt"
+	"io"
+	"log/slog"
+	"net"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+)
+
+// hookConn is the sender's side of a client's connection, with hooks where the sender acts on it.
+type hookConn struct {
+	*net.TCPConn
+	ending  func()    // before the sender ends its side, or all of it
+	reading func()    // before each read
+	wrote   func(int) // after each write
+	once    sync.Once
+}
+
+func (c *hookConn) CloseWrite() error {
+	c.once.Do(c.ending)
+	return c.TCPConn.CloseWrite()
+}
+
+func (c *hookConn) Close() error {
+	c.once.Do(c.ending)
+	return c.TCPConn.Close()
+}
+
+func (c *hookConn) Read(b []byte) (int, error) {
+	c.reading()
+	return c.TCPConn.Read(b)
+}
+
+func (c *hookConn) Write(b []byte) (int, error) {
+	n, err := c.TCPConn.Write(b)
+	c.wrote(n)
+	return n, err
+}
+
+// hooked is a session on a connection of its own, and the client's side.
+func hooked(t *testing.T, events chan any) (*session, *hookConn, *client) {
+	t.Helper()
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer ln.Close()
+	c := dial(t, ln.Addr().String())
+	conn, err := ln.Accept()
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { conn.Close() })
+	cfg, err := ParseConfig(configText(newPlatform(t), List{}))
+	if err != nil {
+		t.Fatal(err)
+	}
+	h := &hookConn{TCPConn: conn.(*net.TCPConn), ending: func() {}, reading: func() {}, wrote: func(int) {}}
+	s := &session{c: newClients(cfg, slog.New(slog.DiscardHandler), events), conn: h, opened: time.Now(), fresh: true}
+	s.c.phase = serving
+	s.c.sessions[s] = struct{}{}
+	return s, h, c
+}
+
+// run serves the session as clients.serve does, and tells of its end.
+func (s *session) run() <-chan struct{} {
+	done := make(chan struct{})
+	go func() {
+		s.handle()
+		s.c.remove(s)
+		s.conn.Close()
+		close(done)
+	}()
+	return done
+}
+
+// arrives waits until something that the sender has not read is there.
+func (c *hookConn) arrives(t *testing.T) {
+	for stop := time.Now().Add(patience); ; {
+		if _, data := peek(c.TCPConn); data {
+			return
+		}
+		if time.Now().After(stop) {
+			t.Error("what was written does not come")
+			return
+		}
+	}
+}
+
+const lateRequest = "*5\r\n$7\r\nMSG.PUT\r\n$1\r\n0\r\n$4\r\nlate\r\n$20\r\nc=safe,d=9000,dest=1\r\n$1\r\nx\r\n"
+
+// A request may come in the instant in which the sender ends a resting connection. It is not sent on, for nobody could
+// be told what became of it; and it costs none of the answers that the client has yet to take, which a close over
+// unread input would.
+func TestAnswersOutliveTheClose(t *testing.T) {
+	events := make(chan any, 1)
+	s, h, c := hooked(t, events)
+	const pings = 24
+	arg := strings.Repeat("x", 4000)
+	var want strings.Builder
+	for range pings {
+		fmt.Fprintf(&want, "$%d\r\n%s\r\n", len(arg), arg)
+	}
+	h.SetWriteBuffer(1 << 20)
+	if err := c.conn.(*net.TCPConn).SetReadBuffer(4096); err != nil { // most of the answers stay on the sender's side
+		t.Fatal(err)
+	}
+	answered, sum := make(chan struct{}), 0
+	h.wrote = func(n int) {
+		if sum += n; sum == want.Len() {
+			close(answered)
+		}
+	}
+	h.ending = func() {
+		io.WriteString(c.conn, lateRequest)
+		h.arrives(t)
+	}
+	done := s.run()
+	for range pings {
+		c.send("PING", arg)
+	}
+	over(t, answered, "all answers")
+	s.c.turn(stopping)
+	s.c.startParting()
+	if got := c.ended(); got != want.String() {
+		t.Errorf("the client gets %d bytes, want %d", len(got), want.Len())
+	}
+	c.conn.Close()
+	over(t, done, "end of the session")
+	if len(events) != 0 {
+		t.Errorf("sent on: %+v", <-events)
+	}
+}
+
+// over waits until ch is closed.
+func over(t *testing.T, ch <-chan struct{}, what string) {
+	t.Helper()
+	select {
+	case <-ch:
+	case <-time.After(patience):
+		t.Fatalf("no %s", what)
+	}
+}
--- a/internal/node/crossing_test.go
+++ b/internal/node/crossing_test.go
@@ -82,6 +82,19 @@
 			in.reply(200)
 			w.open = "m"
 		},
+		"half a line of an answer": func(t *testing.T, w *crossing, hit func(*process)) {
+			x := startProcess(t, w.p, w.dir, w.known)
+			watch := dial(t, x.addr)
+			watch.put("m", "safe", "+OK")
+			in := await(t, w.e.calls, "call")
+			io.WriteString(in.conn, "HTTP/1.1 20")
+			hit(x)
+			for w.sig == syscall.SIGTERM && watch.do("PING") != "-ERR stopping" { // until it is known
+			}
+			io.WriteString(in.conn, "0 OK\r\nContent-Length: 0\r\n\r\n")
+			in.done <- false
+			w.open = "m"
+		},
 		"a stop, with a call": func(t *testing.T, w *crossing, hit func(*process)) {
 			x := startProcess(t, w.p, w.dir, w.known)
 			c := dial(t, x.addr)
--- a/internal/node/session.go
+++ b/internal/node/session.go
@@ -20,7 +20,7 @@
 	lastRequest  = 200 * time.Millisecond // least time for a request that has begun to come
 	maxErrors    = 16                     // errors in a row after which a connection is closed
 	errorPause   = 5 * time.Millisecond   // before the next request is read, for each error in a row
-	lingerClient = 500 * time.Millisecond // after an error, for the client to read it
+	lingerClient = 500 * time.Millisecond // after the end of our side, for the client to close its own
 	lingerBytes  = 1 << 20
 
 	answerOK      = "+OK\r\n"
@@ -59,24 +59,22 @@
 		defer close(written)
 		s.write(queue)
 	}()
-	last := s.read(bufio.NewReader(s.conn), queue)
+	s.read(bufio.NewReader(s.conn), queue)
 	close(queue)
 	<-written
-	if last {
-		s.linger()
-	}
+	s.lingeringClose()
 }
 
-// read takes requests until the connection ends, and says whether an error line was the last word on it.
-func (s *session) read(r *bufio.Reader, queue chan<- answer) bool {
+// read takes requests until the connection ends.
+func (s *session) read(r *bufio.Reader, queue chan<- answer) {
 	first := true
 	for {
 		if !s.await(r) {
-			return false
+			return
 		}
 		if n := s.errors.Load(); n >= maxErrors {
 			queue <- answer{line: answerTooMany}
-			return true
+			return
 		} else if n > 0 {
 			time.Sleep(time.Duration(n) * errorPause)
 		}
@@ -97,16 +95,14 @@
 			continue
 		case errors.Is(err, errProtocol):
 			queue <- answer{line: fmt.Sprintf("-ERR %v\r\n", err), large: large}
-			return true
 		case errors.Is(err, errNoPlace):
 			queue <- answer{line: busy(0)}
-			return true
 		case errors.Is(err, os.ErrDeadlineExceeded):
 			queue <- answer{line: answerTimeout, large: large}
-			return true
+		default:
+			queue <- answer{large: large}
 		}
-		queue <- answer{large: large}
-		return false
+		return
 	}
 }
 
@@ -215,14 +211,15 @@
 	s.since = time.Now()
 }
 
-// linger lets the client read the last line: a close with unread input would be a
-// reset, which can destroy what is on its way.
-func (s *session) linger() {
+// lingeringClose ends the sending side and reads on until the client has closed too, for a while at most: a close over
+// unread input would be a reset, which destroys answers that are on their way. What is read here goes nowhere: the client
+// has been told that the connection is at its end.
+func (s *session) lingeringClose() {
 	s.c.mu.Lock()
 	s.since = time.Time{} // the first to go
 	s.c.mu.Unlock()
-	if t, ok := s.conn.(*net.TCPConn); ok {
-		t.CloseWrite()
+	if half, ok := s.conn.(interface{ CloseWrite() error }); !ok || half.CloseWrite() != nil {
+		return // gone already
 	}
 	s.conn.SetReadDeadline(time.Now().Add(lingerClient))
 	io.Copy(io.Discard, io.LimitReader(s.conn, lingerBytes))
