Count a request as open before any of it is read

evict closes the idlest connection without an open request to make room. A request counted only once its first bytes had been read, and one that came behind another only after that one's answer may have gone out: in between its connection could be closed over a request that had been read, which its client does not send again.

await now waits with MSG_PEEK until something has come, counts the request under the lock, and reads then; one that stands in the buffer already is counted with the end of the one before. A request that comes as the idle time runs out is served, in a drain as before, and now at other times too.

Taken out, as run: awaitInput (a Peek on the reader in its place) and the count in whole each fail TestNothingIsReadUncounted.

--- a/internal/node/clients.go
+++ b/internal/node/clients.go
@@ -143,6 +143,25 @@
 	delete(c.sessions, s)
 }
 
+// awaitInput waits until something has come on a connection, and leaves it unread; false once the peer has closed it.
+func awaitInput(conn net.Conn) (data bool, err error) {
+	sc, ok := conn.(syscall.Conn)
+	if !ok {
+		return false, errors.ErrUnsupported
+	}
+	raw, err := sc.SyscallConn()
+	if err != nil {
+		return false, err
+	}
+	err = raw.Read(func(fd uintptr) bool {
+		var b [1]byte
+		n, _, err := syscall.Recvfrom(int(fd), b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+		data = n > 0
+		return !errors.Is(err, syscall.EAGAIN)
+	})
+	return data, err
+}
+
 // peek looks at a connection without reading or waiting: whether the peer has it
 // open still, and whether something has come.
 func peek(conn net.Conn) (alive, data bool) {
--- a/internal/node/close_test.go
+++ b/internal/node/close_test.go
@@ -145,3 +145,49 @@
 		t.Fatalf("no %s", what)
 	}
 }
+
+// Nothing of a request is read before the request counts as open: until then the connection may be closed to make room,
+// and a client sends again only what has not been read.
+func TestNothingIsReadUncounted(t *testing.T) {
+	events := make(chan any)
+	s, h, c := hooked(t, events)
+	reads, uncounted := 0, 0
+	h.reading = func() {
+		s.c.mu.Lock()
+		defer s.c.mu.Unlock()
+		if reads++; s.open == 0 {
+			uncounted++
+		}
+	}
+	done := s.run()
+	if got := c.do("PING"); got != "+PONG" {
+		t.Fatalf("got %q", got)
+	}
+	io.WriteString(c.conn, lateRequest+lateRequest) // both are read at once
+	for stop := time.Now().Add(patience); ; {       // the first is on its way to the loop
+		s.c.mu.Lock()
+		open := s.open
+		s.c.mu.Unlock()
+		if open == 2 {
+			break
+		}
+		if time.Now().After(stop) {
+			t.Fatalf("%d requests count as open, of two that were read", open)
+		}
+	}
+	for range 2 {
+		await(t, events, "message").(putEvent).answer <- answerOK
+	}
+	if got := c.line() + c.line(); got != "+OK+OK" {
+		t.Errorf("got %q", got)
+	}
+	for stop := time.Now().Add(patience); !s.c.evict(); { // idle once both are answered
+		if time.Now().After(stop) {
+			t.Fatal("never idle")
+		}
+	}
+	over(t, done, "end of the session")
+	if reads == 0 || uncounted != 0 {
+		t.Errorf("%d of %d reads before the request counted", uncounted, reads)
+	}
+}
--- a/internal/node/drain.go
+++ b/internal/node/drain.go
@@ -105,13 +105,6 @@
 	return now.Add(wait)
 }
 
-// isParting says whether connections without an open request end.
-func (c *clients) isParting() bool {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	return c.parting
-}
-
 // gone waits until no client is left or ctx is over. The listener must be closed.
 func (c *clients) gone(ctx context.Context) {
 	done := make(chan struct{})
--- a/internal/node/session.go
+++ b/internal/node/session.go
@@ -85,7 +85,7 @@
 			large = err == nil
 			return err
 		})
-		s.whole()
+		s.whole(err == nil && r.Buffered() > 0)
 		switch {
 		case err == nil:
 			a := s.c.answer(args)
@@ -130,37 +130,36 @@
 	}
 }
 
-// await waits for the first byte of a request; false ends the connection.
+// await waits for the first byte of a request; false ends the connection. A request counts as open before anything of it
+// is read: until then the connection may be closed, and its client sends the request again elsewhere.
 func (s *session) await(r *bufio.Reader) bool {
-	if r.Buffered() == 0 {
-		s.c.mu.Lock()
-		s.conn.SetReadDeadline(s.idleBy(time.Now())) // under the lock: startParting may be about to set its own
-		s.c.mu.Unlock()
-		_, err := r.Peek(1)
-		if errors.Is(err, os.ErrDeadlineExceeded) && s.c.isParting() {
-			// A request may have come just before: it is answered, for its client counts on that.
-			if alive, data := peek(s.conn); !alive || !data {
-				return false
-			}
-			s.conn.SetReadDeadline(time.Now().Add(lastRequest))
-			_, err = r.Peek(1)
-		}
-		if err != nil {
-			return false
-		}
+	if r.Buffered() > 0 {
+		return true // counted with the one before
+	}
+	s.c.mu.Lock()
+	s.conn.SetReadDeadline(s.idleBy(time.Now())) // under the lock: startParting may be about to set its own
+	s.c.mu.Unlock()
+	data, err := awaitInput(s.conn)
+	if errors.Is(err, os.ErrDeadlineExceeded) {
+		_, data = peek(s.conn) // it may have come just before: its client counts on an answer
 	}
 	s.c.mu.Lock()
 	defer s.c.mu.Unlock()
+	if !data || s.gone {
+		return false
+	}
 	s.open++
 	s.reading, s.fresh = true, false
-	return !s.gone
+	return true
 }
 
-// whole notes that the request at hand has come to its end, good or bad.
-func (s *session) whole() {
+// whole notes that the request at hand has come to its end, good or bad, and whether some of the next has come with it.
+func (s *session) whole(more bool) {
 	s.c.mu.Lock()
 	defer s.c.mu.Unlock()
-	s.reading = false
+	if s.reading = more; more {
+		s.open++
+	}
 }
 
 // write sends the answers in the order of their requests, those that are ready together.
