Stop reading clients before the process ends, so that all read are answered

After SIGTERM a connection ends when no request is open on it and nothing more has come.

Now a connection is read until stopSends, 3.2 s after SIGTERM, 0.2 s before the end, by the read deadlines (stopReading). What has not begun is left unread, a message that stands in the buffer behind others is turned away by the session with no word to the loop, one that is not whole gets an error line. The handover does the same; that no test covers.

Taken out, as run: tooLate in await, tooLate in answer and the bound in requestBy each fail a part of TestTooLateForTheLoop; stopReading in shutDown fails TestShutdownStopsReading.

--- a/internal/node/clients.go
+++ b/internal/node/clients.go
@@ -37,6 +37,7 @@
 	phase    phase
 	parting  bool          // a connection ends when no request is open on it
 	part     *time.Timer   // starts that
+	readBy   time.Time     // no request is taken after this; zero for no such time
 	accepted chan struct{} // closed when no more are accepted
 	wg       sync.WaitGroup
 }
--- a/internal/node/close_test.go
+++ b/internal/node/close_test.go
@@ -1,6 +1,7 @@
 package node
 
 import (
+	"bufio"
 	"fmt"
 	"io"
 	"log/slog"
@@ -191,3 +192,81 @@
 		t.Errorf("%d of %d reads before the request counted", uncounted, reads)
 	}
 }
+
+// A request that is read so late in a shutdown that the loop might not answer it is not sent on: one that has not begun
+// is left unread, one that came behind others is turned away, and one that is not complete gets an error line.
+func TestTooLateForTheLoop(t *testing.T) {
+	t.Run("unread", func(t *testing.T) {
+		events := make(chan any, 1)
+		s, h, c := hooked(t, events)
+		s.c.stopReading(time.Now())
+		read := 0
+		h.reading = func() { read++ }
+		h.ending = func() { h.reading = func() {} } // what is drained after that goes nowhere
+		io.WriteString(c.conn, lateRequest)
+		h.arrives(t)
+		done := s.run()
+		if got := c.ended(); got != "" || read != 0 {
+			t.Errorf("%d reads, answer %q", read, got)
+		}
+		c.conn.Close()
+		over(t, done, "end of the session")
+		if len(events) != 0 {
+			t.Errorf("sent on: %+v", <-events)
+		}
+	})
+	t.Run("behind another", func(t *testing.T) {
+		events := make(chan any)
+		s, _, c := hooked(t, events)
+		done := s.run()
+		io.WriteString(c.conn, lateRequest+lateRequest+lateRequest[:len(lateRequest)-1])
+		first := await(t, events, "message").(putEvent)
+		s.c.stopReading(time.Now()) // the second may be on its way already
+		first.answer <- answerOK
+		go func() {
+			for ev := range events {
+				ev.(putEvent).answer <- answerOK
+			}
+		}()
+		got := c.ended()
+		if want := "+OK\r\n-BUSY\r\n" + answerTimeout; got != want && got != "+OK\r\n+OK\r\n"+answerTimeout {
+			t.Errorf("got %q", got)
+		}
+		c.conn.Close()
+		over(t, done, "end of the session")
+		close(events)
+	})
+	t.Run("half", func(t *testing.T) {
+		s, _, _ := hooked(t, nil)
+		at := time.Now().Add(lastRequest / 2)
+		s.c.stopReading(at)
+		for _, first := range []bool{true, false} {
+			if by := s.requestBy(first); by.After(at) {
+				t.Errorf("first %v: read until %v after the last time", first, by.Sub(at))
+			}
+		}
+	})
+	t.Run("answer", func(t *testing.T) {
+		events := make(chan any, 1)
+		s, _, _ := hooked(t, events)
+		args, err := readCommand(bufio.NewReader(strings.NewReader(lateRequest)), func() error { return nil })
+		if err != nil {
+			t.Fatal(err)
+		}
+		s.c.stopReading(time.Now())
+		if a := s.c.answer(args); a.line != "-BUSY\r\n" || len(events) != 0 {
+			t.Errorf("got %q, %d sent on", a.line, len(events))
+		}
+	})
+}
+
+// The last time to read is set by the shutdown, so that the loop goes on for longer than clients are read.
+func TestShutdownStopsReading(t *testing.T) {
+	n, _, _, _ := world(t, 1)
+	stopClean(t, n)
+	n.clients.mu.Lock()
+	defer n.clients.mu.Unlock()
+	if got, want := n.clients.readBy, n.closing.Add(stopSends); !got.Equal(want) || stopSends >= stopAll {
+		t.Errorf("read until %v, want %v", got, want)
+	}
+}
--- a/internal/node/crossing_test.go
+++ b/internal/node/crossing_test.go
@@ -223,3 +223,67 @@
 		stopClean(t, n)
 	}
 }
+
+// A client may send on and on until its connection is closed, also while the sender shuts down. Each request that is read
+// has its answer, and what is sent on, or left for the next start, has been taken on by that answer.
+func TestFloodAcrossShutdown(t *testing.T) {
+	p, e, dir := newPlatform(t), newEndpoint(t), t.TempDir()
+	known := List{Generation: 1, Reset: true, Instances: instances(e)}
+	p.list = known
+	x := startProcess(t, p, dir, known)
+	sent := make(chan string, 1<<16)
+	stop := make(chan struct{})
+	defer close(stop)
+	go func() {
+		for {
+			select {
+			case in := <-e.calls:
+				sent <- in.id()
+				in.reply(200)
+			case <-stop:
+				return
+			}
+		}
+	}()
+	c := dial(t, x.addr)
+	go func() {
+		for i := 0; ; i++ {
+			if _, err := fmt.Fprintf(c.conn, "*5\r\n$7\r\nMSG.PUT\r\n$1\r\n0\r\n$8\r\n%08d\r\n$20\r\nc=safe,d=9000,dest=1\r\n$1\r\nx\r\n", i); err != nil {
+				return // the sender has closed the connection
+			}
+		}
+	}()
+	taken := map[string]bool{}
+	answers := 0
+	for {
+		line, err := c.r.ReadString('\n')
+		if err == io.EOF && line == "" { // in good order: a reset may come in the middle of what was read
+			break
+		} else if err != nil {
+			t.Fatalf("after %d answers: %v", answers, err)
+		}
+		switch line = strings.TrimRight(line, "\r\n"); {
+		case line == "+OK":
+			taken[fmt.Sprintf("%08d", answers)] = true
+		case !strings.HasPrefix(line, "-"):
+			t.Fatalf("answer %d: %q", answers, line)
+		}
+		if answers++; answers == 100 {
+			x.term()
+		}
+	}
+	x.end()
+	ids := owed(t, dir)
+	for len(sent) > 0 {
+		ids = append(ids, <-sent)
+	}
+	for _, id := range ids {
+		if !taken[id] {
+			t.Errorf("%s went on, and its client has no answer", id)
+		}
+	}
+	if len(ids) == 0 {
+		t.Error("nothing was sent on")
+	}
+	t.Logf("%d answers, %d taken on, %d sent on or owed", answers, len(taken), len(ids))
+}
--- a/internal/node/drain.go
+++ b/internal/node/drain.go
@@ -105,6 +105,17 @@
 	return now.Add(wait)
 }
 
+// stopReading sets the time after which no request is taken: what is answered by the loop must not come later than that
+// can answer, and clients go on sending on a connection as long as it is open.
+func (c *clients) stopReading(at time.Time) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.readBy = at
+}
+
+// tooLate says whether it is after that time, under the lock.
+func (c *clients) tooLate() bool { return !c.readBy.IsZero() && !time.Now().Before(c.readBy) }
+
 // gone waits until no client is left or ctx is over. The listener must be closed.
 func (c *clients) gone(ctx context.Context) {
 	done := make(chan struct{})
--- a/internal/node/handover.go
+++ b/internal/node/handover.go
@@ -497,6 +497,7 @@
 	n.ln.Close() // the successor has it too: what waits in its queue is not lost
 	n.disc.halt()
 	n.caller.releaseAll()
+	n.clients.stopReading(n.closing.Add(stopSends))
 	n.clients.turn(replaced)
 	n.figures.open.Store(0)
 	grace, end := context.WithDeadline(work, n.closing.Add(stopAll))
--- a/internal/node/loop.go
+++ b/internal/node/loop.go
@@ -248,6 +248,7 @@
 // shutDown sends the clients away. The first channel is closed when none is left, the second when the time is up.
 func (n *Node) shutDown(work context.Context) (served, stopped <-chan struct{}) {
 	none, late := make(chan struct{}), make(chan struct{})
+	n.clients.stopReading(n.closing.Add(stopSends))
 	n.clients.turn(stopping)
 	grace, end := context.WithDeadline(work, n.closing.Add(stopAll))
 	go func() {
--- a/internal/node/session.go
+++ b/internal/node/session.go
@@ -108,12 +108,19 @@
 
 // requestBy is when the request that has begun to come must be whole.
 func (s *session) requestBy(first bool) time.Time {
-	if by := s.opened.Add(firstRequest); first && time.Until(by) > lastRequest {
-		return by
-	} else if first {
-		return time.Now().Add(lastRequest)
+	by := time.Now().Add(requestTime)
+	if first {
+		by = s.opened.Add(firstRequest)
+		if least := time.Now().Add(lastRequest); by.Before(least) {
+			by = least
+		}
 	}
-	return time.Now().Add(requestTime)
+	s.c.mu.Lock()
+	defer s.c.mu.Unlock()
+	if last := s.c.readBy; !last.IsZero() && last.Before(by) {
+		return last
+	}
+	return by
 }
 
 // errNoPlace says that too many large requests are under way.
@@ -145,7 +152,7 @@
 	}
 	s.c.mu.Lock()
 	defer s.c.mu.Unlock()
-	if !data || s.gone {
+	if !data || s.gone || s.c.tooLate() {
 		return false
 	}
 	s.open++
@@ -243,6 +250,12 @@
 		if err != nil {
 			return answer{line: "-ERR " + err.Error() + "\r\n"}
 		}
+		c.mu.Lock()
+		late := c.tooLate()
+		c.mu.Unlock()
+		if late { // it came behind others that were read in time
+			return answer{line: busy(0)}
+		}
 		later := make(chan string, 1)
 		c.events <- putEvent{msg, later}
 		return answer{later: later}
