--- a/internal/node/crossing_test.go
+++ b/internal/node/crossing_test.go
@@ -3,9 +3,11 @@
 import (
 	"fmt"
 	"io"
+	"net"
 	"strings"
 	"syscall"
 	"testing"
+	"time"
 )
 
 // holdLock takes the lock on a state folder, as a process that owns it would, and gives it back when f is called.
@@ -191,6 +193,52 @@
 	stopClean(t, n)
 }
 
+// Many clients that send much at once and go by a reset, with their answers unread, leave nothing behind: no place, no
+// memory of large requests, nothing that was taken on and has no end. Beside them others are served.
+func TestFloodsLeaveNothingBehind(t *testing.T) {
+	n, c, p, e := world(t, 1)
+	stop := make(chan struct{})
+	defer close(stop)
+	go func() {
+		for {
+			select {
+			case in := <-e[0].calls:
+				in.reply(200)
+			case <-p.notices: // what there was no room for is returned
+			case <-stop:
+				return
+			}
+		}
+	}()
+	large := strings.Repeat("x", 2*smallRequest)
+	for i := range 20 {
+		gone := dial(t, n.addr)
+		var b strings.Builder
+		for k := range 50 {
+			id := fmt.Sprintf("%04d-%04d", i, k)
+			fmt.Fprintf(&b, "*5\r\n$7\r\nMSG.PUT\r\n$1\r\n0\r\n$9\r\n%s\r\n$20\r\nc=safe,d=3000,dest=1\r\n$%d\r\n%s\r\n", id, len(large), large)
+		}
+		io.WriteString(gone.conn, b.String()[:b.Len()-100*(i%2)]) // every second one stops within a request; one may be cut short
+		gone.conn.(*net.TCPConn).SetLinger(0)
+		gone.conn.Close()
+		if got := c.do("PING"); got != "+PONG" {
+			t.Fatalf("after %d floods PING gets %q", i+1, got)
+		}
+	}
+	for stop := time.Now().Add(patience); ; {
+		n.clients.mu.Lock()
+		left := len(n.clients.sessions)
+		n.clients.mu.Unlock()
+		if left <= 1 && len(n.clients.large) == 0 { // that of c, at most
+			break
+		}
+		if time.Now().After(stop) {
+			t.Fatalf("%d sessions and %d large requests are left", left, len(n.clients.large))
+		}
+	}
+	stopClean(t, n)
+}
+
 // What a class may do comes from its settings, not from its name, and holds beside a class of the other effect.
 func TestEffectComesFromTheSettings(t *testing.T) {
 	for _, swapped := range []bool{false, true} {
