Test that small answers are not held back on any client's connection

What the system still holds back goes with a close over unread input. Go sets TCP_NODELAY on what a listener accepts; TestSmallAnswersAreNotHeldBack asks the system for it, on a listener of our own and on one that came from the process before. Kept already; with SetNoDelay(false) in clients.serve it fails, as run.

--- a/internal/node/close_test.go
+++ b/internal/node/close_test.go
@@ -8,6 +8,7 @@
 	"net"
 	"strings"
 	"sync"
+	"syscall"
 	"testing"
 	"time"
 )
@@ -270,3 +271,53 @@
 		t.Errorf("read until %v, want %v", got, want)
 	}
 }
+
+// An answer is small, and must not wait in the system for another: a close over unread input would take it along. So on
+// connections of a listener that came from the process before, too.
+func TestSmallAnswersAreNotHeldBack(t *testing.T) {
+	own, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer own.Close()
+	f, err := own.(*net.TCPListener).File()
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer f.Close()
+	given, err := net.FileListener(f)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer given.Close()
+	for _, ln := range []net.Listener{own, given} {
+		s, _, _ := hooked(t, nil)
+		go s.c.serve(ln)
+		if got := dial(t, ln.Addr().String()).do("PING"); got != "+PONG" {
+			t.Fatalf("got %q", got)
+		}
+		ln.Close()
+		<-s.c.accepted
+		s.c.mu.Lock()
+		for x := range s.c.sessions {
+			if x == s {
+				continue
+			}
+			raw, err := x.conn.(*net.TCPConn).SyscallConn()
+			if err != nil {
+				t.Fatal(err)
+			}
+			if err := raw.Control(func(fd uintptr) {
+				if v, err := syscall.GetsockoptInt(int(fd), syscall.IPPROTO_TCP, syscall.TCP_NODELAY); v == 0 || err != nil {
+					t.Errorf("TCP_NODELAY %d, %v", v, err)
+				}
+			}); err != nil {
+				t.Error(err)
+			}
+		}
+		if len(s.c.sessions) != 2 {
+			t.Errorf("%d sessions", len(s.c.sessions))
+		}
+		s.c.mu.Unlock()
+	}
+}
