Cover the last time to read in the handover by a test as well

TestShutdownStopsReading looks at a process that hands over, too. With the line in retire taken out it fails, as run. Before, no test covered it.

--- a/internal/node/close_test.go
+++ b/internal/node/close_test.go
@@ -261,15 +261,38 @@
 	})
 }
 
-// The last time to read is set by the shutdown, so that the loop goes on for longer than clients are read.
+// The last time to read is set by the shutdown, and by the handover, so that the loop, and the relay, go on for longer than
+// clients are read.
 func TestShutdownStopsReading(t *testing.T) {
-	n, _, _, _ := world(t, 1)
+	check := func(how string, n *Node) {
+		t.Helper()
+		n.clients.mu.Lock()
+		defer n.clients.mu.Unlock()
+		if got, want := n.clients.readBy, n.closing.Add(stopSends); !got.Equal(want) || stopSends >= stopAll {
+			t.Errorf("%s: read until %v, want %v", how, got, want)
+		}
+	}
+	n, _, p, _ := world(t, 1)
 	stopClean(t, n)
-	n.clients.mu.Lock()
-	defer n.clients.mu.Unlock()
-	if got, want := n.clients.readBy, n.closing.Add(stopSends); !got.Equal(want) || stopSends >= stopAll {
-		t.Errorf("read until %v, want %v", got, want)
+	check("stopped", n.Node)
+	cfg, err := ParseConfig(configText(p, List{}))
+	if err != nil {
+		t.Fatal(err)
+	}
+	cfg.StateDir = t.TempDir()
+	old, err := New(cfg, slog.New(slog.DiscardHandler))
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer old.lock.Close()
+	defer old.journal.Close()
+	if old.ln, err = net.Listen("tcp", "127.0.0.1:0"); err != nil {
+		t.Fatal(err)
 	}
+	go old.clients.serve(old.ln)
+	old.closing, old.after = time.Now(), &successor{packets: make(chan packet)}
+	old.retire(t.Context())
+	check("replaced", old)
 }
 
 // An answer is small, and must not wait in the system for another: a close over unread input would take it along. So on
