Read a list an entry at a time, and up to 32 MiB of it

A whole list of 70,000 endpoints is 11.2 MB of JSON at 159 bytes each, and a list was read up to 4 MiB: a sender never learned it, and the log spoke of an unexpected end of the text. The text also stood in memory as a whole.

readList decodes entry by entry and gives up past 32 MiB with an error that names the bound.

With the old reading in its place TestWholeListScale and TestLongListIsRefused fail. The time that an answer is given to come whole (2.5 s) stays: at 28 KB a second 11.2 MB take 399 s.

--- a/internal/node/discovery.go
+++ b/internal/node/discovery.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"errors"
 	"fmt"
 	"io"
@@ -26,10 +25,9 @@
 	watchShare = 25 * time.Millisecond   // and within so much for each sender that there is ...
 	lastWatch  = 3 * time.Second         // ... but this at most: news counts as told 6 s after a start
 	emptyPause = 100 * time.Millisecond  // between watches that are answered at once with nothing
-	maxList    = 4 << 20
-	keepGone   = time.Minute            // an endpoint off the list is remembered so long: it may come back
-	moveTries  = 4                      // calls to a new address that may fail before the module is told
-	movePause  = 200 * time.Millisecond // after each
+	keepGone   = time.Minute             // an endpoint off the list is remembered so long: it may come back
+	moveTries  = 4                       // calls to a new address that may fail before the module is told
+	movePause  = 200 * time.Millisecond  // after each
 )
 
 // errTurnedAway says that discovery has answered without a list: it may be overbooked, and wants no call at once.
@@ -352,8 +350,8 @@
 		io.Copy(io.Discard, io.LimitReader(resp.Body, maxList))
 		return list, fmt.Errorf("%w %s", errTurnedAway, resp.Status)
 	}
-	if err := json.NewDecoder(io.LimitReader(resp.Body, maxList)).Decode(&list); err != nil {
-		return list, fmt.Errorf("read list: %w", err)
+	if list, err = readList(resp.Body); err != nil {
+		return list, err
 	}
 	io.Copy(io.Discard, io.LimitReader(resp.Body, maxList))
 	return list, nil
