Keep count of the endpoints out of rotation instead of walking the list

State and suspicion of an endpoint now change in one place, setStatus, which keeps the count; a restored module counts by the same way. The random runs compare the count with a walk after every step, of the module and of its restored twin.

A direct change of the fields in unlist, entry, suspect or succeeded makes TestRulesUnderRandomOutcomes fail, one in Restore TestSnapshotGoesOn.

--- a/logic/logic.go
+++ b/logic/logic.go
@@ -162,7 +162,8 @@
 		// A machine that joins a destination in trouble is as cold as the others: what topples it is shared.
 		for _, x := range d.eps {
 			if x.cold && e.lane == x.lane {
-				e.cold, e.suspect, e.backAt, e.trialAt, e.lastBad = true, x.suspect, x.backAt, x.trialAt, x.lastBad
+				s.setStatus(e, e.state, x.suspect)
+				e.cold, e.backAt, e.trialAt, e.lastBad = true, x.backAt, x.trialAt, x.lastBad
 				e.downAt = x.downAt
 			}
 		}
@@ -173,7 +174,8 @@
 			d.next = s.rng.IntN(len(d.eps))
 		}
 	}
-	e.zone, e.state = row.Zone, row.State
+	s.setStatus(e, row.State, e.suspect)
+	e.zone = row.Zone
 	if s.set.Weights != WeightsOff && row.Nominal > 0 && !e.lane.told {
 		e.lane.limit = row.Nominal
 	}
@@ -866,8 +868,8 @@
 	}
 	if e.suspect {
 		s.log("endpoint %d answers again", e.id)
-		e.suspect, e.backAt = false, s.now
-		e.trialGap = 0
+		s.setStatus(e, e.state, false)
+		e.backAt, e.trialGap = s.now, 0
 		e.cold = e.cold && (sent >= e.downAt+outageLeast || e.bad*(1-badAlpha) > badShare)
 	}
 	// An answer while a sibling is out shows that e is well; one after its return may be of the return itself.
@@ -939,7 +941,8 @@
 func (s *Sender) suspect(e *endpoint, how string) {
 	if !e.suspect {
 		s.log("endpoint %d out: %s", e.id, how)
-		e.suspect, e.trialGap, e.trialAt = true, trialGap, s.now+trialGap
+		s.setStatus(e, e.state, true)
+		e.trialGap, e.trialAt = trialGap, s.now+trialGap
 	}
 }
 
--- a/logic/rig_test.go
+++ b/logic/rig_test.go
@@ -91,6 +91,7 @@
 	coldSent []Micros
 	wellSent []Micros
 	peak     float64
+	mostOut  int // of rotation at one time
 	trace    []string
 }
 
@@ -307,8 +308,10 @@
 		w.each()
 	}
 	acts := w.s.Step(w.now, evs)
+	w.checkOutOfRotation(w.s)
 	if w.twin != nil {
 		w.sameAs(acts, w.twin.Step(w.now, evs))
+		w.checkOutOfRotation(w.twin)
 	}
 	for _, a := range acts {
 		w.trace = append(w.trace, fmt.Sprintf("%d %#v", w.now, a))
@@ -376,6 +379,22 @@
 	}
 }
 
+// checkOutOfRotation compares what the Sender keeps count of with what a walk over its list finds.
+func (w *world) checkOutOfRotation(s *Sender) {
+	n := 0
+	for _, d := range s.order {
+		for _, e := range d.eps {
+			if e.suspect || e.state != Ready {
+				n++
+			}
+		}
+	}
+	w.mostOut = max(w.mostOut, n)
+	if s.OutOfRotation() != n {
+		w.bad("%d endpoints out of rotation, want %d", s.OutOfRotation(), n)
+	}
+}
+
 func (w *world) end(m *wmsg) {
 	if m.ended && !m.mayRun && w.now <= m.deadline {
 		w.bad("%s ended twice", m.id)
--- a/logic/snapshot.go
+++ b/logic/snapshot.go
@@ -307,10 +307,11 @@
 			return nil, errSnapshot
 		}
 		d := s.order[y.Dest]
-		e := &endpoint{id: y.ID, zone: y.Zone, state: y.State, dest: d, lane: d.lane, sent: y.Sent, bad: y.Bad,
+		e := &endpoint{id: y.ID, zone: y.Zone, state: Gone, dest: d, lane: d.lane, sent: y.Sent, bad: y.Bad,
 			fails: y.Fails, fulls: y.Fulls, spoilt: y.Spoilt, resets: y.Resets, goneAt: y.GoneAt, lastOK: y.LastOK,
-			lastBad: y.LastBad, well: y.Well, suspect: y.Suspect, cold: y.Cold, backAt: y.BackAt, downAt: y.DownAt,
+			lastBad: y.LastBad, well: y.Well, cold: y.Cold, backAt: y.BackAt, downAt: y.DownAt,
 			trialAt: y.TrialAt, trialGap: y.TrialGap, inflight: y.Inflight, slow: y.Slow, lastSent: y.LastSent, warm: y.Warm}
+		s.setStatus(e, y.State, y.Suspect)
 		if y.Own != nil {
 			e.lane = y.Own.lane()
 		}
--- a/logic/snapshot_test.go
+++ b/logic/snapshot_test.go
@@ -29,6 +29,7 @@
 	if w.twin, err = Restore(w.set, text); err != nil {
 		w.t.Fatal(err)
 	}
+	w.checkOutOfRotation(w.twin)
 	again, err := w.twin.Snapshot()
 	if err != nil {
 		w.t.Fatal(err)
@@ -49,8 +50,8 @@
 				}
 			}
 			w.play()
-			if w.twin == nil || len(w.trace) < 100 {
-				t.Fatalf("%d actions, twin %v", len(w.trace), w.twin)
+			if w.twin == nil || len(w.trace) < 100 || w.mostOut < 2 {
+				t.Fatalf("%d actions, twin %v, %d endpoints out of rotation at most", len(w.trace), w.twin, w.mostOut)
 			}
 		})
 	}
--- a/logic/state.go
+++ b/logic/state.go
@@ -159,6 +159,8 @@
 	many     bool            // senders
 	turned   map[int]float64 // by kind, share of calls turned away
 	short    map[int]Micros  // by kind, until when connections to it count as scarce
+
+	outOfRotation int // listed endpoints that get no ordinary traffic
 }
 
 // hist is a discounted latency histogram.
@@ -180,7 +182,8 @@
 	if e.state != Gone {
 		s.gone = append(s.gone, e)
 	}
-	e.state, e.goneAt = Gone, s.now
+	s.setStatus(e, Gone, e.suspect)
+	e.goneAt = s.now
 	e.dest.eps = slices.DeleteFunc(e.dest.eps, func(x *endpoint) bool { return x == e })
 }
 
@@ -405,16 +408,24 @@
 	}
 }
 
-// OutOfRotation counts the listed endpoints that get no ordinary traffic now.
-func (s *Sender) OutOfRotation() (n int) {
-	for _, d := range s.order {
-		for _, e := range d.eps {
-			if e.suspect || e.state != Ready {
-				n++
-			}
-		}
+// OutOfRotation is the number of listed endpoints that get no ordinary traffic now.
+func (s *Sender) OutOfRotation() int { return s.outOfRotation }
+
+// outOfRotation says whether an endpoint is listed and gets no ordinary traffic.
+func (e *endpoint) outOfRotation() bool {
+	return e.state == Draining || e.state == Ready && e.suspect
+}
+
+// setStatus is the one place where the state of an endpoint changes, or whether it seems out, so that the
+// count is right.
+func (s *Sender) setStatus(e *endpoint, state Readiness, suspect bool) {
+	if e.outOfRotation() {
+		s.outOfRotation--
+	}
+	e.state, e.suspect = state, suspect
+	if e.outOfRotation() {
+		s.outOfRotation++
 	}
-	return n
 }
 
 // crowd is the share of the hold that is taken.
