Let a change of the list cost what it changes, not the whole list

take counted the listed endpoints by a walk over all, list walked all for those to release, and so did the look each second for those long gone. Each held call was also searched for among the rows. The directory now keeps the endpoints that were taken off the list apart: what is listed is the rest, and only those off it are looked through. What holds calls back looks up a map. The calls out are collected each second only while something is off the list.

The walks put back make TestListChangeScale fail. TestDirectoryKnowsWhatIsListed is new: it fails if an endpoint that comes back stays among those gone, or if a handover leaves them out. TestDirectoryChurn reads the new field and now demands that its check of a call out has run.

--- a/internal/node/answer_test.go
+++ b/internal/node/answer_test.go
@@ -5,6 +5,7 @@
 	"context"
 	"fmt"
 	"io"
+	"math/rand/v2"
 	"net"
 	"slices"
 	"strings"
@@ -257,6 +258,7 @@
 	d := newDirectory(cfg)
 	seen := map[logic.EndpointID]bool{}
 	now := time.Now()
+	held := false
 	for i := range 1000 {
 		at := fmt.Sprintf("127.0.0.1:%d", 1+i%3) // at the address of one that has gone
 		l := List{Instances: []Instance{{ID: fmt.Sprint("s-", i), HostPort: at, Dest: 1, Lifecycle: "up"}}}
@@ -268,17 +270,19 @@
 			t.Fatalf("number %d is given twice", rows[0].Endpoint)
 		}
 		seen[rows[0].Endpoint] = true
+		if d.listed() != 1 {
+			t.Fatalf("%d endpoints are listed, want 1", d.listed())
+		}
 		d.forget(now, nil)
 		if i%10 == 9 {
 			now = now.Add(2 * keepGone)
-			for id, to := range d.eps {
-				if !to.gone.IsZero() {
-					d.forget(now, map[logic.EndpointID]bool{id: true})
-					if _, ok := d.eps[id]; !ok {
-						t.Fatal("an endpoint with a call out is forgotten")
-					}
-					break
+			for id := range d.gone {
+				held = true
+				d.forget(now, map[logic.EndpointID]bool{id: true})
+				if _, ok := d.eps[id]; !ok {
+					t.Fatal("an endpoint with a call out is forgotten")
 				}
+				break
 			}
 			d.forget(now, nil)
 		}
@@ -286,10 +290,53 @@
 			t.Fatal("the wrong destinations are known")
 		}
 	}
+	if !held {
+		t.Error("no endpoint was off the list with a call out")
+	}
 	d.take(List{Reset: true})
 	d.forget(time.Now().Add(2*keepGone), nil)
-	if len(d.eps)+len(d.ids)+len(d.dests) != 0 {
-		t.Errorf("left: %d endpoints, %d names, %d destinations", len(d.eps), len(d.ids), len(d.dests))
+	if len(d.eps)+len(d.ids)+len(d.dests)+len(d.gone) != 0 {
+		t.Errorf("left: %d endpoints, %d names, %d destinations, %d gone", len(d.eps), len(d.ids), len(d.dests), len(d.gone))
+	}
+}
+
+// Endpoints come, go and come back, by changes and by whole lists. Which are listed is known throughout, also to a
+// process that takes over, and none of those is forgotten.
+func TestDirectoryKnowsWhatIsListed(t *testing.T) {
+	n := emptyNode(t, t.TempDir())
+	rnd := rand.New(rand.NewPCG(3, 1))
+	on := map[string]bool{}
+	for i := range 500 {
+		l := List{Reset: rnd.IntN(10) == 0}
+		if l.Reset {
+			clear(on)
+		}
+		for range rnd.IntN(5) {
+			in := Instance{ID: fmt.Sprint("s-", rnd.IntN(8)), HostPort: "127.0.0.1:1", Dest: 1,
+				Lifecycle: []string{"up", "draining", "removed"}[rnd.IntN(3)]}
+			if delete(on, in.ID); in.Lifecycle != "removed" {
+				on[in.ID] = true
+			}
+			l.Instances = append(l.Instances, in)
+		}
+		n.dir.take(l)
+		st, err := n.handoverState()
+		if err != nil {
+			t.Fatal(err)
+		}
+		later := newDirectory(n.cfg)
+		later.restore(st)
+		for who, d := range map[string]*directory{"this process": n.dir, "the next": later} {
+			if d.listed() != len(on) {
+				t.Fatalf("list %d: %s has %d endpoints, want %d", i, who, d.listed(), len(on))
+			}
+			if who == "the next" || rnd.IntN(20) == 0 {
+				d.forget(time.Now().Add(2*keepGone), nil)
+				if len(d.eps) != len(on) || len(d.gone) != 0 {
+					t.Fatalf("list %d: %s keeps %d endpoints, want %d", i, who, len(d.eps), len(on))
+				}
+			}
+		}
 	}
 }
 
--- a/internal/node/discovery.go
+++ b/internal/node/discovery.go
@@ -65,10 +65,9 @@
 	kinds []logic.Kind
 	ids   map[string]logic.EndpointID
 	eps   map[logic.EndpointID]target
-	dests map[int64]int // how many of eps a destination has
+	dests map[int64]int                  // how many of eps a destination has
+	gone  map[logic.EndpointID]time.Time // of eps, those that were taken off the list, and when
 	last  logic.EndpointID
-
-	listed int // of eps, those on the list
 }
 
 // target is where an endpoint can be reached.
@@ -78,21 +77,24 @@
 	zone int
 	dest int64
 	kind int
-	gone time.Time // when it was taken off the list; zero while it is on it
 }
 
 func newDirectory(cfg *Config) *directory {
 	return &directory{zones: cfg.Deploy.Zones, kinds: cfg.Deploy.Settings.Kinds,
-		ids: map[string]logic.EndpointID{}, eps: map[logic.EndpointID]target{}, dests: map[int64]int{}}
+		ids: map[string]logic.EndpointID{}, eps: map[logic.EndpointID]target{}, dests: map[int64]int{},
+		gone: map[logic.EndpointID]time.Time{}}
 }
 
+// listed is how many endpoints are on the list.
+func (d *directory) listed() int { return len(d.eps) - len(d.gone) }
+
 // serves says whether a destination has an endpoint, or had one a short while ago.
 func (d *directory) serves(dest int64) bool { return d.dests[dest] > 0 }
 
 // forget drops endpoints that have long been off the list, but for those in use.
 func (d *directory) forget(now time.Time, inUse map[logic.EndpointID]bool) {
-	for id, to := range d.eps {
-		if !to.gone.IsZero() && now.Sub(to.gone) > keepGone && !inUse[id] {
+	for id, at := range d.gone {
+		if now.Sub(at) > keepGone && !inUse[id] {
 			d.drop(id)
 		}
 	}
@@ -104,6 +106,7 @@
 		return
 	}
 	delete(d.eps, id)
+	delete(d.gone, id)
 	delete(d.ids, to.name)
 	if d.dests[to.dest]--; d.dests[to.dest] == 0 {
 		delete(d.dests, to.dest)
@@ -121,9 +124,8 @@
 			on[in.ID] = true
 		}
 		for id, to := range d.eps {
-			if !on[to.name] && to.gone.IsZero() {
-				to.gone = now
-				d.eps[id] = to
+			if !on[to.name] {
+				d.leave(id, now)
 			}
 		}
 	}
@@ -152,25 +154,27 @@
 			d.dests[to.dest]--
 		}
 		if in.HostPort != "" || !listed {
-			to = target{name: in.ID, addr: in.HostPort, zone: row.Zone, dest: row.Dest, kind: row.Kind, gone: to.gone}
+			to = target{name: in.ID, addr: in.HostPort, zone: row.Zone, dest: row.Dest, kind: row.Kind}
 		}
-		if d.dests[to.dest]++; row.State != logic.Gone {
-			to.gone = time.Time{}
-		} else if to.gone.IsZero() {
-			to.gone = now
+		d.dests[to.dest]++
+		if row.State == logic.Gone {
+			d.leave(id, now)
+		} else {
+			delete(d.gone, id)
 		}
 		d.eps[id] = to
 		rows = append(rows, row)
 	}
-	d.listed = 0
-	for _, to := range d.eps {
-		if to.gone.IsZero() {
-			d.listed++
-		}
-	}
 	return rows
 }
 
+// leave notes that an endpoint is off the list.
+func (d *directory) leave(id logic.EndpointID, now time.Time) {
+	if _, ok := d.gone[id]; !ok {
+		d.gone[id] = now
+	}
+}
+
 // discovery asks for the list. Where it is asked, a watch runs from its start until calls fail or discovery moves.
 // Where the list is pushed, the address is an agent of our own: what that has counts as told from the start of the
 // process, watch or no watch, so the first one begins at once and ends only with a move. The loop owns it.
--- a/internal/node/handover.go
+++ b/internal/node/handover.go
@@ -468,8 +468,8 @@
 	}
 	for id, to := range n.dir.eps {
 		x := targetState{ID: id, Name: to.name, Addr: to.addr, Zone: to.zone, Kind: to.kind, Dest: to.dest}
-		if !to.gone.IsZero() {
-			x.Gone = to.gone.UnixMicro()
+		if at, ok := n.dir.gone[id]; ok {
+			x.Gone = at.UnixMicro()
 		}
 		st.Targets = append(st.Targets, x)
 	}
@@ -478,13 +478,11 @@
 
 // restore brings the directory back.
 func (d *directory) restore(st *handover) {
-	d.last, d.listed = st.Last, 0
+	d.last = st.Last
 	for _, x := range st.Targets {
 		to := target{name: x.Name, addr: x.Addr, zone: x.Zone, kind: x.Kind, dest: x.Dest}
 		if x.Gone != 0 {
-			to.gone = time.UnixMicro(x.Gone)
-		} else {
-			d.listed++
+			d.gone[x.ID] = time.UnixMicro(x.Gone)
 		}
 		d.ids[x.Name], d.eps[x.ID] = x.ID, to
 		d.dests[x.Dest]++
--- a/internal/node/loop.go
+++ b/internal/node/loop.go
@@ -288,7 +288,9 @@
 			n.next = append(n.next, logic.Due{Token: n.token})
 		case <-sweep.C:
 			n.caller.sweep()
-			n.dir.forget(time.Now(), n.calls())
+			if len(n.dir.gone) > 0 {
+				n.dir.forget(time.Now(), n.calls())
+			}
 			n.forget()
 			continue
 		case <-served:
@@ -463,17 +465,21 @@
 	if ev.list.Reset || len(rows) > 0 { // not each watch that ends without news
 		n.log.Info("list", "generation", ev.list.Generation, "whole", ev.list.Reset, "entries", len(ev.list.Instances))
 	}
+	ready := make(map[logic.EndpointID]bool, len(rows))
+	for _, row := range rows {
+		ready[row.Endpoint] = row.State == logic.Ready
+	}
 	n.hold(func(ep logic.EndpointID) bool {
-		i := slices.IndexFunc(rows, func(row logic.Entry) bool { return row.Endpoint == ep })
-		return i >= 0 && rows[i].State != logic.Ready || i < 0 && ev.list.Reset
+		is, told := ready[ep]
+		return !is && (told || ev.list.Reset)
 	})
-	for _, row := range rows {
-		if row.State != logic.Ready {
-			n.caller.release(row.Endpoint)
+	for ep, is := range ready {
+		if !is {
+			n.caller.release(ep)
 		}
 	}
-	for id, to := range n.dir.eps { // a whole list leaves out what is gone
-		if !to.gone.IsZero() {
+	if ev.list.Reset { // it leaves out what is gone
+		for id := range n.dir.gone {
 			n.caller.release(id)
 		}
 	}
@@ -633,7 +639,7 @@
 // show brings the operators' figures up to date.
 func (n *Node) show() {
 	n.figures.open.Store(int64(n.open))
-	n.figures.entries.Store(int64(n.dir.listed))
+	n.figures.entries.Store(int64(n.dir.listed()))
 	n.figures.avoided.Store(int64(n.sender.OutOfRotation()))
 }
 
--- a/internal/node/scale_test.go
+++ b/internal/node/scale_test.go
@@ -6,11 +6,13 @@
 	"fmt"
 	"io"
 	"log/slog"
+	"math"
 	"net/http"
 	"net/http/httptest"
 	"runtime"
 	"strings"
 	"testing"
+	"time"
 )
 
 // listSizes are numbers of endpoints, up to those that are expected within two years.
@@ -94,3 +96,87 @@
 		}
 	}
 }
+
+// least is the shortest time that f takes of some runs, each with a number of its own.
+func least(runs int, f func(i int)) time.Duration {
+	best := time.Duration(math.MaxInt64)
+	for i := range runs {
+		at := time.Now()
+		f(i)
+		best = min(best, time.Since(at))
+	}
+	return best
+}
+
+// listedNode is a sender that has a whole list of n endpoints, and is not run.
+func listedNode(tb testing.TB, n int) *Node {
+	tb.Helper()
+	x := emptyNode(tb, tb.TempDir())
+	list, err := readList(bytes.NewReader(listText(n)))
+	if err != nil {
+		tb.Fatal(err)
+	}
+	x.list(listEvent{list: list})
+	x.step(tb.Context())
+	return x
+}
+
+func emptyNode(tb testing.TB, dir string) *Node {
+	tb.Helper()
+	cfg, err := ParseConfig(configText(&platform{srv: &httptest.Server{URL: "http://127.0.0.1:1"}}, List{}))
+	if err != nil {
+		tb.Fatal(err)
+	}
+	cfg.StateDir, cfg.Limits.DiskMB = dir, 0
+	x, err := New(cfg, slog.New(slog.DiscardHandler))
+	if err != nil {
+		tb.Fatal(err)
+	}
+	tb.Cleanup(func() {
+		x.journal.Close()
+		x.lock.Close()
+	})
+	return x
+}
+
+// change is news of one endpoint: it drains, or is up again.
+func change(i int) listEvent {
+	text := fmt.Sprintf(`{"generation":42,"instances":[%s]}`, instanceText(3))
+	if i%2 == 0 {
+		text = strings.Replace(text, `"up"`, `"draining"`, 1)
+	}
+	list, err := readList(strings.NewReader(text))
+	if err != nil {
+		panic(err)
+	}
+	return listEvent{list: list}
+}
+
+// flat checks that what is to cost the same with any list does: the walk over a list a hundred times as long takes
+// about a hundred times as long.
+func flat(t *testing.T, what string, took map[int]time.Duration) {
+	t.Helper()
+	t.Logf("%s: %v", what, took)
+	first, last := took[listSizes[0]], took[listSizes[len(listSizes)-1]]
+	if last > 20*first {
+		t.Errorf("%s: %v with %d endpoints, %v with %d", what, first, listSizes[0], last, listSizes[len(listSizes)-1])
+	}
+}
+
+// The change of one endpoint, and the look each second for those long gone, cost the same with any list.
+func TestListChangeScale(t *testing.T) {
+	changed, swept := map[int]time.Duration{}, map[int]time.Duration{}
+	for _, size := range listSizes {
+		n := listedNode(t, size)
+		changed[size] = least(50, func(i int) {
+			n.list(change(i))
+			n.step(t.Context())
+		})
+		swept[size] = least(50, func(int) { n.dir.forget(time.Now(), nil) })
+		if n.dir.listed() != size {
+			t.Errorf("%d endpoints are listed, want %d", n.dir.listed(), size)
+		}
+	}
+	flat(t, "a change", changed)
+	flat(t, "a look for those long gone", swept)
+}
