Allocate the bins of a histogram when there is something to count

A destination carried 392 bytes of bins also where nothing was ever sent. They come with the first outcome now.

With the bins in the struct TestIdleDestinationScale fails; with none saved TestSnapshotGoesOn, with them allocated by a restore TestSnapshotOfAnOlderBuild.

--- a/logic/logic.go
+++ b/logic/logic.go
@@ -592,6 +592,9 @@
 }()
 
 func (h *hist) add(now, took Micros, cut bool) {
+	if h.w == nil {
+		h.w = new(weights)
+	}
 	f := math.Exp2(-float64(now-h.at) / float64(halfLife))
 	h.at = now
 	for i := range h.w {
--- a/logic/scale_test.go
+++ b/logic/scale_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math"
+	"runtime"
 	"testing"
 	"time"
 )
@@ -71,3 +72,31 @@
 		})
 	}
 }
+
+// heap is what the live objects take after a collection.
+func heap() int64 {
+	runtime.GC()
+	var m runtime.MemStats
+	runtime.ReadMemStats(&m)
+	return int64(m.HeapAlloc)
+}
+
+// A destination to which nothing was ever sent takes so much memory, with its two endpoints, in a list of any size.
+func TestIdleDestinationScale(t *testing.T) {
+	for _, n := range destSizes {
+		list := destList(n)
+		s, err := New(base(), 7)
+		if err != nil {
+			t.Fatal(err)
+		}
+		before := heap()
+		s.Step(0, []Event{list})
+		each := (heap() - before) / int64(n)
+		runtime.KeepAlive(list)
+		runtime.KeepAlive(s)
+		t.Logf("%d destinations with two endpoints: %d bytes each", n, each)
+		if each > 1000 {
+			t.Errorf("%d destinations: %d bytes each", n, each)
+		}
+	}
+}
--- a/logic/snapshot.go
+++ b/logic/snapshot.go
@@ -134,14 +134,24 @@
 	By    string // empty if none, or if it is forgotten
 }
 
-func (h *hist) save() histState { return histState{h.w[:], h.total, h.cuts, h.at} }
+// save writes all bins down, also where nothing was counted: version 1 has them.
+func (h *hist) save() histState {
+	w := h.w
+	if w == nil {
+		w = new(weights)
+	}
+	return histState{w[:], h.total, h.cuts, h.at}
+}
 
 func (h *hist) load(x histState) error {
-	if len(x.W) != len(h.w) {
+	if len(x.W) != len(weights{}) {
 		return errSnapshot
 	}
-	copy(h.w[:], x.W)
 	h.total, h.cuts, h.at = x.Total, x.Cuts, x.At
+	if h.total == 0 && h.cuts == 0 {
+		return nil
+	}
+	h.w = (*weights)(x.W)
 	h.update()
 	return nil
 }
--- a/logic/snapshot_test.go
+++ b/logic/snapshot_test.go
@@ -2,7 +2,10 @@
 
 import (
 	"bytes"
+	"encoding/json"
+	"errors"
 	"fmt"
+	"os"
 	"reflect"
 	"slices"
 	"strings"
@@ -57,6 +60,36 @@
 	}
 }
 
+// The snapshot of testdata is from a build that held the bins of each histogram from the start. This one goes on from
+// it, and writes the same down, so that such a build can go on from ours. Destination 5 is idle.
+func TestSnapshotOfAnOlderBuild(t *testing.T) {
+	text, err := os.ReadFile("testdata/snapshot-v1.json")
+	if err != nil {
+		t.Fatal(err)
+	}
+	s, err := Restore(base(), text)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if used, idle := s.dests[9].hist, s.dests[5].hist; used.w == nil || used.median == 0 || idle.w != nil {
+		t.Errorf("destination 9: %+v, destination 5: %+v", used, idle)
+	}
+	again, err := s.Snapshot()
+	if err != nil {
+		t.Fatal(err)
+	}
+	var want, got snapshot
+	if err := errors.Join(json.Unmarshal(text, &want), json.Unmarshal(again, &got)); err != nil {
+		t.Fatal(err)
+	}
+	if !reflect.DeepEqual(want, got) {
+		t.Errorf("got %+v, want %+v", got, want)
+	}
+	if len(got.Dests[1].Hist.W) != binCount+1 {
+		t.Errorf("an idle destination has %d bins in the snapshot", len(got.Dests[1].Hist.W))
+	}
+}
+
 // What does not fit together is refused, not taken up in part.
 func TestSnapshotThatDoesNotFit(t *testing.T) {
 	r := newRig(t, base())
--- a/logic/state.go
+++ b/logic/state.go
@@ -165,7 +165,7 @@
 
 // hist is a discounted latency histogram.
 type hist struct {
-	w      [binCount + 1]float64 // the last bin holds what lasted past every edge
+	w      *weights // nil until there is something to count
 	total  float64
 	cuts   float64
 	at     Micros
@@ -174,6 +174,9 @@
 	p95    Micros
 }
 
+// weights are those of the bins. The last one holds what lasted past every edge.
+type weights [binCount + 1]float64
+
 func (s *Sender) do(a Action) { s.out = append(s.out, a) }
 
 func (s *Sender) at(t Micros) { s.wake = min(s.wake, t) }
