--- a/internal/node/scale_test.go
+++ b/internal/node/scale_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"encoding/json"
 	"errors"
 	"fmt"
 	"io"
@@ -13,6 +14,8 @@
 	"strings"
 	"testing"
 	"time"
+
+	"ravenmount/logic"
 )
 
 // listSizes are numbers of endpoints, up to those that are expected within two years.
@@ -180,3 +183,260 @@
 	flat(t, "a change", changed)
 	flat(t, "a look for those long gone", swept)
 }
+
+// heap is what the live objects take after a collection.
+func heap() int64 {
+	runtime.GC()
+	var m runtime.MemStats
+	runtime.ReadMemStats(&m)
+	return int64(m.HeapAlloc)
+}
+
+// messageSizes are numbers of messages in the journal. The last one is what the door lets in, see doorFull.
+var messageSizes = []int{1000, 5000, 20000, 0}
+
+// messageBody is the body of a message of the usual size.
+const messageBody = 200
+
+// accepted records the i-th message, for a destination that no endpoint serves.
+func accepted(i int) record {
+	rec := accept(fmt.Sprintf("%016x", i), messageBody)
+	rec.Entry.Key, rec.Entry.Dest = fmt.Sprintf("key-%016x", i), -1
+	rec.Entry.Deadline = time.Now().Add(time.Hour).UnixMicro()
+	return rec
+}
+
+// filled is a journal in dir with n messages; with those that the door lets in if n is 0.
+func filled(tb testing.TB, dir string, n int) *Journal {
+	tb.Helper()
+	j, err := OpenJournal(dir, 0)
+	if err != nil {
+		tb.Fatal(err)
+	}
+	tb.Cleanup(func() { j.Close() })
+	for i := 0; n == 0 && j.Room(messageBody) || i < n; i++ {
+		if err := j.Append([]record{accepted(i)}); err != nil {
+			tb.Fatal(err)
+		}
+	}
+	return j
+}
+
+func sizeName(n int) string {
+	if n == 0 {
+		return "door-full"
+	}
+	return fmt.Sprint(n)
+}
+
+// A whole list from the wire to the module, of a process that has none, with what is kept of it.
+func BenchmarkWholeList(b *testing.B) {
+	for _, size := range listSizes {
+		b.Run(fmt.Sprint(size), func(b *testing.B) {
+			text := listText(size)
+			cfg := emptyNode(b, b.TempDir()).cfg
+			take := func() (*directory, *logic.Sender) {
+				list, err := readList(bytes.NewReader(text))
+				if err != nil {
+					b.Fatal(err)
+				}
+				d := newDirectory(cfg)
+				s, err := logic.New(cfg.Deploy.Settings, 1)
+				if err != nil {
+					b.Fatal(err)
+				}
+				s.Step(0, []logic.Event{logic.Endpoints{Form: logic.ListFull, Entries: d.take(list)}})
+				return d, s
+			}
+			before := heap()
+			d, s := take()
+			kept := heap() - before
+			runtime.KeepAlive(d)
+			runtime.KeepAlive(s)
+			b.ReportAllocs()
+			for b.Loop() {
+				take()
+			}
+			each := func(x float64, unit string) { b.ReportMetric(x/float64(size), unit+"/endpoint") }
+			each(float64(b.Elapsed().Nanoseconds())/float64(b.N), "ns")
+			each(float64(kept), "heap-B")
+			each(float64(len(text)), "wire-B")
+		})
+	}
+}
+
+// Only the reading of a whole list.
+func BenchmarkReadList(b *testing.B) {
+	for _, size := range listSizes {
+		b.Run(fmt.Sprint(size), func(b *testing.B) {
+			text := listText(size)
+			for b.Loop() {
+				if _, err := readList(bytes.NewReader(text)); err != nil {
+					b.Fatal(err)
+				}
+			}
+			b.ReportMetric(float64(b.Elapsed().Nanoseconds())/float64(b.N*size), "ns/endpoint")
+		})
+	}
+}
+
+// News of one endpoint, by the list and by the messages held.
+func BenchmarkListChange(b *testing.B) {
+	run := func(name string, n *Node) {
+		b.Run(name, func(b *testing.B) {
+			i := 0
+			for b.Loop() {
+				n.list(change(i))
+				n.next = nil
+				i++
+			}
+		})
+	}
+	for _, size := range listSizes {
+		run(fmt.Sprintf("%dendpoints/0held", size), listedNode(b, size))
+	}
+	for _, size := range []int{1000, 5000, 20000, 80000} {
+		n := listedNode(b, listSizes[0])
+		for i := range size {
+			n.held[fmt.Sprint(i)] = &held{msg: new(Message)}
+		}
+		run(fmt.Sprintf("%dendpoints/%dheld", listSizes[0], size), n)
+	}
+}
+
+// A message taken on, sent and delivered, beside so many others in the journal: the cost of its three records.
+func BenchmarkJournalAppend(b *testing.B) {
+	for _, size := range messageSizes {
+		b.Run(sizeName(size), func(b *testing.B) {
+			j := filled(b, b.TempDir(), size)
+			i := 1 << 32
+			for b.Loop() {
+				rec := accepted(i)
+				id := rec.Entry.ID
+				if err := j.Append([]record{rec, {Op: opSend, ID: id, At: 1}, {Op: opDone, ID: id}}); err != nil {
+					b.Fatal(err)
+				}
+				i++
+			}
+		})
+	}
+}
+
+// The start of a process that finds so many messages in the journal, with what each takes of the disk and of memory.
+func BenchmarkJournalReplay(b *testing.B) {
+	for _, size := range messageSizes {
+		b.Run(sizeName(size), func(b *testing.B) {
+			dir := b.TempDir()
+			onDisk := filled(b, dir, size).size
+			before := heap()
+			j, err := OpenJournal(dir, 0)
+			if err != nil {
+				b.Fatal(err)
+			}
+			kept, owed := heap()-before, len(j.entries)
+			j.Close()
+			for b.Loop() {
+				j, err := OpenJournal(dir, 0)
+				if err != nil {
+					b.Fatal(err)
+				}
+				j.Close()
+			}
+			b.ReportMetric(float64(owed), "messages")
+			b.ReportMetric(float64(onDisk)/float64(owed), "disk-B/message")
+			b.ReportMetric(float64(kept)/float64(owed), "heap-B/message")
+			b.ReportMetric(float64(b.Elapsed().Nanoseconds())/float64(b.N*owed), "ns/message")
+		})
+	}
+}
+
+// From a start to ready, but for sockets: the journal is replayed, the list of the configuration and what is owed go
+// to the module, and its first step is made.
+func BenchmarkStart(b *testing.B) {
+	start := func(b *testing.B, text []byte, dir string) *Node {
+		cfg, err := ParseConfig(text)
+		if err != nil {
+			b.Fatal(err)
+		}
+		cfg.StateDir, cfg.Limits.DiskMB, cfg.Deploy.Settings.MaxOpen = dir, 0, 0
+		n, err := New(cfg, slog.New(slog.DiscardHandler))
+		if err != nil {
+			b.Fatal(err)
+		}
+		if err := n.begin(b.Context()); err != nil {
+			b.Fatal(err)
+		}
+		n.step(b.Context())
+		return n
+	}
+	run := func(name string, endpoints int, dir string) {
+		b.Run(name, func(b *testing.B) {
+			list, err := readList(bytes.NewReader(listText(endpoints)))
+			if err != nil {
+				b.Fatal(err)
+			}
+			text := configText(&platform{srv: &httptest.Server{URL: "http://127.0.0.1:1"}}, list)
+			before := heap()
+			n := start(b, text, dir)
+			kept, owed := heap()-before, n.open
+			n.journal.Close()
+			n.lock.Close()
+			for b.Loop() {
+				n := start(b, text, dir)
+				n.journal.Close()
+				n.lock.Close()
+			}
+			b.ReportMetric(float64(kept), "heap-B")
+			b.ReportMetric(float64(owed), "messages")
+		})
+	}
+	for _, size := range listSizes {
+		run(fmt.Sprintf("%dendpoints", size), size, b.TempDir())
+	}
+	for _, size := range messageSizes {
+		dir := b.TempDir()
+		filled(b, dir, size)
+		run("journal-"+sizeName(size), 2, dir)
+	}
+}
+
+// The state that a handover passes on, by the list: more than maxFrame is not sent.
+func BenchmarkHandoverState(b *testing.B) {
+	for _, size := range listSizes {
+		b.Run(fmt.Sprint(size), func(b *testing.B) {
+			n := listedNode(b, size)
+			var frame []byte
+			for b.Loop() {
+				st, err := n.handoverState()
+				if err != nil {
+					b.Fatal(err)
+				}
+				if frame, err = json.Marshal(packet{State: st}); err != nil {
+					b.Fatal(err)
+				}
+			}
+			b.ReportMetric(float64(len(frame)), "frame-B")
+			b.ReportMetric(float64(len(frame))/maxFrame, "frames")
+		})
+	}
+}
+
+// Notices that wait for the platform: what each takes, and what it costs to confirm a body of them.
+func BenchmarkNotices(b *testing.B) {
+	for _, size := range []int{1000, 5000, 20000, 80000} {
+		b.Run(fmt.Sprint(size), func(b *testing.B) {
+			before := heap()
+			q := newNotices("", slog.New(slog.DiscardHandler), nil)
+			for i := range size {
+				q.add(Notice{ID: fmt.Sprintf("%016x", i), State: "returned", AfterMS: 500})
+			}
+			kept := heap() - before
+			all, ids := q.queue, q.ids
+			for b.Loop() {
+				q.queue, q.ids = all, ids
+				q.confirmed(1000)
+			}
+			b.ReportMetric(float64(kept)/float64(size), "heap-B/notice")
+		})
+	}
+}
