Keep the attempts that are out apart from what is held

A change of the list, a told wait and the look for endpoints in use each went over all held messages to find the few with an attempt out, of which there are no more than slots. They have a map of their own now, kept where an attempt goes out and where it lands.

The walks put back make TestListChangeBesideBacklogScale fail. Without the removal in landed, or without the calls of the process before, the new TestCallOfTheProcessBeforeIsOut does. TestHoldReachesConnectingCalls books its calls by goesOut; what it demands is the same.

--- a/internal/node/handover.go
+++ b/internal/node/handover.go
@@ -209,7 +209,6 @@
 		if c := x.Call; c != nil {
 			h.call = &call{id: c.ID, attempt: c.Attempt, ep: c.Endpoint, msg: h.msg, state: new(atomic.Int32)}
 			h.call.state.Store(c.State)
-			h.stop = n.before.stop(h.call)
 		}
 		all[x.Message.ID] = h
 	}
@@ -224,6 +223,7 @@
 	for _, h := range all {
 		if h.call != nil {
 			n.before.out[h.call.id] = h.call
+			n.goesOut(h, h.call, n.before.stop(h.call))
 		}
 	}
 	n.held, n.recent, n.open = all, recent, open
@@ -565,8 +565,7 @@
 	case replyEvent:
 		c, x := ev.call, ev.result
 		if h := r.n.held[c.id]; h != nil && h.call == c {
-			h.stop()
-			h.stop, h.call = nil, nil
+			r.n.landed(h)
 		}
 		p.Reply = &remoteReply{Call: callState(c), Outcome: x.outcome, Wait: x.wait, Over: x.over, Load: x.load, Idle: x.idle,
 			Took: ev.took}
--- a/internal/node/handover_test.go
+++ b/internal/node/handover_test.go
@@ -11,9 +11,12 @@
 	"os"
 	"path/filepath"
 	"strings"
+	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
+
+	"ravenmount/logic"
 )
 
 // upgradeWorld is a program with an endpoint, and where the next one is to start.
@@ -397,3 +400,32 @@
 	x.term()
 	x.end()
 }
+
+// A call of the process before is out for this one too: a wait holds it back while it connects there, and its
+// endpoint is in use until it ends.
+func TestCallOfTheProcessBeforeIsOut(t *testing.T) {
+	old, n := emptyNode(t, t.TempDir()), emptyNode(t, t.TempDir())
+	rec := accept("a", 10)
+	mustAppend(t, n.journal, rec)
+	old.held["a"] = &held{msg: &rec.Entry.Message}
+	old.goesOut(old.held["a"], &call{id: "a", ep: 7, state: new(atomic.Int32)}, func() {})
+	st, err := old.handoverState()
+	if err != nil {
+		t.Fatal(err)
+	}
+	n.before = &predecessor{link: &link{conn: new(net.UnixConn)}, out: map[string]*call{}}
+	if err := n.adopt(st); err != nil {
+		t.Fatal(err)
+	}
+	c := n.before.out["a"]
+	if c == nil || !n.calls()[7] {
+		t.Fatalf("call %v, endpoints in use %v", c, n.calls())
+	}
+	if n.holdWait(7); c.state.Load() != callHeld {
+		t.Errorf("a wait leaves the call in state %d", c.state.Load())
+	}
+	n.reply(replyEvent{call: c, result: result{outcome: logic.Moot}})
+	if len(n.calls()) != 0 {
+		t.Errorf("endpoints in use after the end: %v", n.calls())
+	}
+}
--- a/internal/node/loop.go
+++ b/internal/node/loop.go
@@ -88,6 +88,7 @@
 	stages  stages
 	held    map[string]*held
 	open    int                  // of held, those not over
+	out     map[string]*held     // of held, those with an attempt out
 	recent  map[string]time.Time // ids that were taken on and are over, until their time is up
 	next    []logic.Event        // for the next step
 	closing time.Time            // when SIGTERM came; zero until then
@@ -115,7 +116,7 @@
 	// The module asks for the list only where it must, and anywhere after a failed call.
 	n := &Node{cfg: cfg, log: log, lock: lock, follow: !set.OnRequest, sender: sender, dir: newDirectory(cfg), figures: figures,
 		caller: newCaller(span(cfg.Deploy.ConnectTimeout), span(set.ConnIdle), set.Slots, shareOut(cfg), &figures.relayed),
-		events: make(chan any, eventRoom), ready: make(chan net.Addr, 1), start: time.Now(), stages: spent, due: time.NewTimer(time.Hour), held: map[string]*held{}, recent: map[string]time.Time{}}
+		events: make(chan any, eventRoom), ready: make(chan net.Addr, 1), start: time.Now(), stages: spent, due: time.NewTimer(time.Hour), held: map[string]*held{}, out: map[string]*held{}, recent: map[string]time.Time{}}
 	n.caller.copies = cfg.Deploy.SecondCopies
 	n.disc = newDiscovery(cfg.Discovery, set.Senders, log, n.events)
 	n.disc.pushed = !set.OnRequest
@@ -489,14 +490,25 @@
 // calls lists the endpoints that calls are out to.
 func (n *Node) calls() map[logic.EndpointID]bool {
 	out := map[logic.EndpointID]bool{}
-	for _, h := range n.held {
-		if h.call != nil {
-			out[h.call.ep] = true
-		}
+	for _, h := range n.out {
+		out[h.call.ep] = true
 	}
 	return out
 }
 
+// goesOut notes that an attempt is out, and how it is ended.
+func (n *Node) goesOut(h *held, c *call, stop context.CancelFunc) {
+	h.call, h.stop = c, stop
+	n.out[c.id] = h
+}
+
+// landed notes that the attempt has had its outcome.
+func (n *Node) landed(h *held) {
+	h.stop()
+	delete(n.out, h.call.id)
+	h.call, h.stop = nil, nil
+}
+
 // jitter is d, give or take half: what fails for many senders at once must not be tried again by all at once.
 func jitter(d time.Duration) time.Duration { return d/2 + time.Duration(rand.Int64N(int64(d))) }
 
@@ -515,9 +527,8 @@
 	if h == nil {
 		return
 	}
-	if h.stop != nil {
-		h.stop()
-		h.stop, h.call = nil, nil
+	if h.call != nil {
+		n.landed(h)
 	}
 	r := ev.result
 	h.trail.heard(r)
@@ -737,7 +748,7 @@
 		in.writeBy = time.UnixMicro(e.FirstMay).Add(span(c.Window))
 	}
 	ctx, stop := context.WithCancel(work)
-	h.stop, h.call = stop, in
+	n.goesOut(h, in, stop)
 	var err error
 	if in.request, err = deliverRequest(h.msg, to.addr, in.giveUp); err != nil || !written {
 		if err != nil {
@@ -787,8 +798,8 @@
 // hold keeps calls that are still connecting from being written: what the module decided before it knew better
 // would reach the endpoint long after. They end as never sent.
 func (n *Node) hold(match func(ep logic.EndpointID) bool) {
-	for _, h := range n.held {
-		if h.stop != nil && match(h.call.ep) && h.call.state.CompareAndSwap(callConnecting, callHeld) {
+	for _, h := range n.out {
+		if match(h.call.ep) && h.call.state.CompareAndSwap(callConnecting, callHeld) {
 			h.stop()
 		}
 	}
--- a/internal/node/node_test.go
+++ b/internal/node/node_test.go
@@ -468,7 +468,9 @@
 		var calls []*call
 		for i, ep := range []logic.EndpointID{1, 2, 3, 1} {
 			calls = append(calls, &call{ep: ep, state: new(atomic.Int32)})
-			n.held[fmt.Sprint("m", i)] = &held{call: calls[i], stop: func() {}}
+			calls[i].id = fmt.Sprint("m", i)
+			n.held[calls[i].id] = new(held)
+			n.goesOut(n.held[calls[i].id], calls[i], func() {})
 		}
 		calls[3].state.Store(callWritten)
 		x.learn(n)
--- a/internal/node/scale_test.go
+++ b/internal/node/scale_test.go
@@ -155,14 +155,14 @@
 	return listEvent{list: list}
 }
 
-// flat checks that what is to cost the same with any list does: the walk over a list a hundred times as long takes
-// about a hundred times as long.
-func flat(t *testing.T, what string, took map[int]time.Duration) {
+// flat checks that what is to cost the same at any size does: a walk over a hundred times as many takes about a hundred
+// times as long.
+func flat(t *testing.T, what string, sizes []int, took map[int]time.Duration) {
 	t.Helper()
 	t.Logf("%s: %v", what, took)
-	first, last := took[listSizes[0]], took[listSizes[len(listSizes)-1]]
-	if last > 20*first {
-		t.Errorf("%s: %v with %d endpoints, %v with %d", what, first, listSizes[0], last, listSizes[len(listSizes)-1])
+	small, large := sizes[0], sizes[len(sizes)-1]
+	if took[large] > 20*took[small] {
+		t.Errorf("%s: %v with %d, %v with %d", what, took[small], small, took[large], large)
 	}
 }
 
@@ -180,8 +180,38 @@
 			t.Errorf("%d endpoints are listed, want %d", n.dir.listed(), size)
 		}
 	}
-	flat(t, "a change", changed)
-	flat(t, "a look for those long gone", swept)
+	flat(t, "a change", listSizes, changed)
+	flat(t, "a look for those long gone", listSizes, swept)
+}
+
+// heldSizes are numbers of messages held.
+var heldSizes = []int{1000, 5000, 20000, 100000}
+
+// holding is a sender that holds so many messages with no call out, and is not run.
+func holding(tb testing.TB, size int) *Node {
+	tb.Helper()
+	n := listedNode(tb, listSizes[0])
+	for i := range size {
+		n.held[fmt.Sprint(i)] = &held{msg: new(Message)}
+	}
+	return n
+}
+
+// The change of one endpoint, a wait that is told, and the look for endpoints in use cost the same with any backlog.
+func TestListChangeBesideBacklogScale(t *testing.T) {
+	changed, waited, used := map[int]time.Duration{}, map[int]time.Duration{}, map[int]time.Duration{}
+	for _, size := range heldSizes {
+		n := holding(t, size)
+		changed[size] = least(50, func(i int) {
+			n.list(change(i))
+			n.next = nil
+		})
+		waited[size] = least(50, func(int) { n.holdWait(1) })
+		used[size] = least(50, func(int) { n.calls() })
+	}
+	flat(t, "a change", heldSizes, changed)
+	flat(t, "a told wait", heldSizes, waited)
+	flat(t, "a look for endpoints in use", heldSizes, used)
 }
 
 // heap is what the live objects take after a collection.
@@ -295,12 +325,8 @@
 	for _, size := range listSizes {
 		run(fmt.Sprintf("%dendpoints/0held", size), listedNode(b, size))
 	}
-	for _, size := range []int{1000, 5000, 20000, 80000} {
-		n := listedNode(b, listSizes[0])
-		for i := range size {
-			n.held[fmt.Sprint(i)] = &held{msg: new(Message)}
-		}
-		run(fmt.Sprintf("%dendpoints/%dheld", listSizes[0], size), n)
+	for _, size := range heldSizes {
+		run(fmt.Sprintf("%dendpoints/%dheld", listSizes[0], size), holding(b, size))
 	}
 }
 
