--- a/internal/node/scale_test.go
+++ b/internal/node/scale_test.go
@@ -376,6 +376,20 @@
 	}
 }
 
+// The rewrite of a journal with so many messages, for which everything else waits.
+func BenchmarkJournalCompact(b *testing.B) {
+	for _, size := range messageSizes {
+		b.Run(sizeName(size), func(b *testing.B) {
+			j := filled(b, b.TempDir(), size)
+			for b.Loop() {
+				if err := j.Compact(); err != nil {
+					b.Fatal(err)
+				}
+			}
+		})
+	}
+}
+
 // From a start to ready, but for sockets: the journal is replayed, the list of the configuration and what is owed go
 // to the module, and its first step is made.
 func BenchmarkStart(b *testing.B) {
