Let a lane that was free owe a second's calls at most

Cause: launch takes a token for each call, also while the lane has no pace, but paced fills tokens only where there is one. The first refusal then found a debt of all calls since the lane was last paced, less the new pace for that time, and the lane stood still until it was paid.

Change: paced lets a lane owe no more than a second of its pace.

Measured: TestFreeLaneOwesLittle (300 calls in 31 s, then a refusal after a quiet second) fails without the bound ("not sent again within 9 s at a pace of 1") and passes with it.

--- /dev/null
+++ b/logic/budget_test.go
@@ -0,0 +1,31 @@
+package logic
+
+import "testing"
+
+// A lane that runs free owes a second's calls at most once a refusal sets its pace.
+func TestFreeLaneOwesLittle(t *testing.T) {
+	r := newRig(t, base())
+	r.step(0, list(1))
+	at := 0.0
+	for range 300 {
+		at += 0.1
+		c := only[CallOut](r.step(at, r.call(0)))[0]
+		r.step(at+0.05, answer(c.ID, 1, 0, Completed))
+	}
+	at += 1 // a quiet second: the pace starts low
+	c := only[CallOut](r.step(at, r.call(0)))[0]
+	r.step(at+0.01, answer(c.ID, 1, 0, Full))
+	l := r.s.dests[9].lane
+	if l.pace == 0 {
+		t.Fatal("a refusal set no pace")
+	}
+	for wait := 0.02; wait < 9; wait += 0.02 {
+		if len(only[CallOut](r.step(at+wait, Due{}))) > 0 {
+			if most := 1 + 1/l.pace + 0.05; wait > most {
+				t.Errorf("sent again after %.2f s at a pace of %v, want %.2f at most", wait, l.pace, most)
+			}
+			return
+		}
+	}
+	t.Errorf("not sent again within 9 s at a pace of %v", l.pace)
+}
--- a/logic/logic.go
+++ b/logic/logic.go
@@ -527,7 +527,9 @@
 	if r == 0 {
 		return 0
 	}
-	l.tokens = min(l.tokens+r*seconds(s.now-l.filled), max(1, r*seconds(paceSave)))
+	// What went while the lane was free is owed, but for no more than a second.
+	l.tokens = max(l.tokens+r*seconds(s.now-l.filled), -r*seconds(paceSpan))
+	l.tokens = min(l.tokens, max(1, r*seconds(paceSave)))
 	l.filled = s.now
 	if l.tokens >= 1-1e-9 {
 		return 0
