Take an endpoint that was silent for long as cold at its return

Cause: a call cut at τ says nothing of a failure (reply, case Recalled), and cutLong only suspects a silent endpoint. Where all calls that met an outage were cut at τ, or one unsafe call held the place of the trials to its deadline, no call had failed: takeOut was never reached, the endpoint came back without a budget, and all that had been held went out at once.

Change: suspect notes since when, and succeeded takes an endpoint that has been out for outageLeast for cold, whatever it was out for. Shorter silence leaves it as it was.

Ruled out: counting each cut call as a failure.

--- a/logic/budget_test.go
+++ b/logic/budget_test.go
@@ -2,6 +2,28 @@
 
 import "testing"
 
+// Found at twenty senders before a destination that fell silent: a sender all of whose calls there were cut at τ knew
+// of no failure, and sent all that it held once the first trial was answered.
+func TestLongSilenceLeavesAColdEndpoint(t *testing.T) {
+	for _, x := range []struct {
+		silent float64
+		cold   bool
+	}{{1.5, false}, {2.5, true}} {
+		r := newRig(t, base())
+		r.step(0, list(1))
+		e := r.s.eps[1]
+		r.s.now = sec(1)
+		r.s.succeeded(e, sec(0.9))
+		r.s.now = sec(20)
+		r.s.suspect(e, "silent")
+		r.s.now += sec(x.silent)
+		r.s.succeeded(e, r.s.now)
+		if e.suspect || e.cold != x.cold {
+			t.Errorf("silent for %v s: out %v, cold %v", x.silent, e.suspect, e.cold)
+		}
+	}
+}
+
 // A lane that runs free owes a second's calls at most once a refusal sets its pace.
 func TestFreeLaneOwesLittle(t *testing.T) {
 	r := newRig(t, base())
--- a/logic/logic.go
+++ b/logic/logic.go
@@ -871,11 +871,11 @@
 	if e.suspect && sent < e.lastBad {
 		return
 	}
-	if e.suspect {
+	if e.suspect { // one that was silent for long comes back as cold as one that was seen to fail
 		s.log("endpoint %d answers again", e.id)
 		s.setStatus(e, e.state, false)
 		e.backAt, e.trialGap = s.now, 0
-		e.cold = e.cold && (sent >= e.downAt+outageLeast || e.bad*(1-badAlpha) > badShare)
+		e.cold = sent >= e.downAt+outageLeast || e.cold && e.bad*(1-badAlpha) > badShare
 	}
 	// An answer while a sibling is out shows that e is well; one after its return may be of the return itself.
 	if !slices.ContainsFunc(e.dest.eps, func(x *endpoint) bool {
@@ -948,6 +948,9 @@
 		s.log("endpoint %d out: %s", e.id, how)
 		s.setStatus(e, e.state, true)
 		e.trialGap, e.trialAt = trialGap, s.now+trialGap
+		if !e.cold {
+			e.downAt = s.now
+		}
 	}
 }
 
--- a/logic/state.go
+++ b/logic/state.go
@@ -56,7 +56,7 @@
 	suspect           bool   // out, as far as we know
 	cold              bool   // was out; budgeted until backAt+WarmAfter
 	backAt            Micros
-	downAt            Micros // last answer before it was taken out
+	downAt            Micros // last answer before it was taken out, or when it began to look silent
 	trialAt, trialGap Micros
 	inflight          int
 	slow              float64 // smoothed latency, microseconds
