Hold a cold destination's budget to what it can do over the whole window

Cause: budget allowed for a window what the destination could do at its end, while it had warmed up during it: up to half as much again. Senders that know the limit, or have the destination alone, use all of it.

Change: where the capacity is no guess of one among several, the ramp counts by its mean over the window.

Measured: TestBudgetIsThatOfTheWholeWindow fails without it (49 calls where 47 may go, 0.74 s after the return).

--- a/logic/budget_test.go
+++ b/logic/budget_test.go
@@ -71,3 +71,40 @@
 	}
 	t.Errorf("not sent again within 9 s at a pace of %v", l.pace)
 }
+
+// What a window may hold is what the destination could do in it, which is less than what it can do at its end.
+func TestBudgetIsThatOfTheWholeWindow(t *testing.T) {
+	const rate = 40.0
+	set := base()
+	set.Senders, set.Slots, set.MaxOpen, set.Weights = 1, 4000, 0, WeightsNominal
+	set.FallMultiple, set.FallWindow, set.ColdFrom, set.WarmAfter = 2.5, 3*Second, 0.15, sec(9.5)
+	r := newRig(t, set)
+	news := list(1)
+	news.Entries[0].Nominal = rate
+	evs := []Event{news}
+	r.step(0, evs...)
+	e := r.s.eps[1]
+	e.cold, e.backAt = true, Second
+	for range 600 {
+		evs = append(evs, r.call(2))
+	}
+	var sent []Micros
+	for at := 1.0; at < 10.5; at += 0.02 {
+		acts := r.step(at, evs...)
+		evs = []Event{Due{}}
+		for _, c := range only[CallOut](acts) {
+			sent = append(sent, r.s.now)
+			evs = append(evs, answer(c.ID, 1, 0, Completed))
+		}
+		most := 0.0
+		for x := at - 3; x < at; x += 0.01 {
+			most += 0.01 * set.FallMultiple * rate * (0.15 + 0.85*max(x-1, 0)/9.5)
+		}
+		if n := since(sent, sec(at-3)); float64(n) > most+1 {
+			t.Fatalf("%.2f s after the return: %d calls in a window, want %.0f at most", at-1, n, most)
+		}
+	}
+	if len(sent) < 200 {
+		t.Errorf("only %d calls in all", len(sent))
+	}
+}
--- a/logic/logic.go
+++ b/logic/logic.go
@@ -460,7 +460,15 @@
 			if x.suspect {
 				up = min(up, 0)
 			} else if x.cold {
-				up = min(up, seconds(s.now-x.backAt)/seconds(s.set.WarmAfter))
+				t, w := seconds(s.now-x.backAt), seconds(long)
+				switch { // what counts is what x could do in the window, on average; a guess errs further
+				case guess:
+				case t < w:
+					t *= t / (2 * w)
+				default:
+					t -= w / 2
+				}
+				up = min(up, t/seconds(s.set.WarmAfter))
 			}
 		}
 	}
