--- a/logic/size_test.go
+++ b/logic/size_test.go
@@ -88,8 +88,8 @@
 	}
 }
 
-// heap is what the live objects take after a collection.
-func heap() int64 {
+// liveHeap is what the live objects take after a collection.
+func liveHeap() int64 {
 	runtime.GC()
 	var m runtime.MemStats
 	runtime.ReadMemStats(&m)
@@ -104,9 +104,9 @@
 		if err != nil {
 			t.Fatal(err)
 		}
-		before := heap()
+		before := liveHeap()
 		s.Step(0, []Event{list})
-		each := (heap() - before) / int64(n)
+		each := (liveHeap() - before) / int64(n)
 		runtime.KeepAlive(list)
 		runtime.KeepAlive(s)
 		t.Logf("%d destinations with two endpoints: %d bytes each", n, each)
@@ -162,9 +162,9 @@
 				b.Fatal(err)
 			}
 			evs := backlog(n)
-			before := heap()
+			before := liveHeap()
 			s.Step(0, evs)
-			each := float64(heap()-before) / float64(n)
+			each := float64(liveHeap()-before) / float64(n)
 			for b.Loop() {
 				s.Step(1, nil)
 			}
