Count what is held and told instead of going over it

Each refusal and reply asked all destinations whether one had told a limit, each end of a message moved the whole list of those held, and the clearing of destinations went over all messages. Now destinations that told a limit are counted, as are the messages of each; the list of those held keeps ended ones until they are more than the others by 64.

--- a/logic/logic.go
+++ b/logic/logic.go
@@ -735,7 +735,7 @@
 	// What cannot be sent again may wait; but not with the last slot, while others could go.
 	if oldest != nil && s.busy >= s.set.Slots && s.set.Slots > 0 {
 		for _, m := range s.held {
-			if m.out == nil && m.dest != oldest.m.dest {
+			if m.out == nil && !m.over && m.dest != oldest.m.dest {
 				s.cancel(oldest)
 				break
 			}
@@ -942,9 +942,7 @@
 }
 
 // reports says whether answers here carry reports.
-func (s *Sender) reports() bool {
-	return slices.ContainsFunc(s.order, func(d *dest) bool { return d.lane.told })
-}
+func (s *Sender) reports() bool { return s.told > 0 }
 
 // noPlace notes a call for which e had no connection. It says nothing of a limit, and many in a row mean no
 // more than that others hold the places, unless nothing else has come from e for long.
@@ -1035,7 +1033,7 @@
 func (s *Sender) endHopeless() {
 	last := 2 * max(s.set.Tick, 1000)
 	for _, m := range slices.Clone(s.held) {
-		if m.flows {
+		if m.flows || m.over {
 			continue
 		}
 		left := m.deadline - s.now
--- a/logic/snapshot.go
+++ b/logic/snapshot.go
@@ -192,7 +192,7 @@
 		return nil, fmt.Errorf("snapshot: %w", err)
 	}
 	x := snapshot{Version: snapshotVersion, Rand: source, Now: s.now, Step: s.step, Seq: s.seq, ForgetAt: s.forgetAt,
-		AskAt: s.askAt, AskGap: s.askGap, Unsure: s.unsure, Logs: s.logs, Turned: s.turned, Short: s.short, Held: len(s.held),
+		AskAt: s.askAt, AskGap: s.askGap, Unsure: s.unsure, Logs: s.logs, Turned: s.turned, Short: s.short, Held: s.open,
 		Keys: map[string]keyState{}}
 	for _, u := range s.usage {
 		x.Usage = append(x.Usage, usageState{u.n, u.at})
@@ -214,14 +214,19 @@
 	for _, e := range s.gone {
 		x.Gone = append(x.Gone, eps.of(e))
 	}
-	over := []*msg{}
+	held, over := []*msg{}, []*msg{}
+	for _, m := range s.held {
+		if !m.over {
+			held = append(held, m)
+		}
+	}
 	for _, m := range s.msgs {
 		if m.over {
 			over = append(over, m)
 		}
 	}
 	slices.SortFunc(over, func(a, b *msg) int { return a.seq - b.seq })
-	for _, m := range slices.Concat(s.held, over) {
+	for _, m := range slices.Concat(held, over) {
 		x.Messages = append(x.Messages, msgState{m.id, m.ci, m.share, places[m.dest], m.seq, m.first, m.came, m.deadline, m.tries,
 			m.cuts, m.mayRun, m.firstMay, m.mayZone, eps.of(m.last), m.rest, m.over, m.flows})
 	}
@@ -299,6 +304,9 @@
 			return nil, err
 		}
 		s.dests[d.id], s.order = d, append(s.order, d)
+		if d.lane.told {
+			s.told++
+		}
 	}
 	eps, err := s.restoreEndpoints(&x)
 	if err != nil {
@@ -360,9 +368,13 @@
 		if y.Last >= 0 {
 			m.last = eps[y.Last]
 		}
+		if y.Over != (i >= x.Held) || s.msgs[m.id] != nil {
+			return errSnapshot
+		}
 		s.msgs[m.id] = m
-		if i < x.Held {
-			s.held = append(s.held, m)
+		m.dest.msgs++
+		if !m.over {
+			s.hold(m)
 		}
 	}
 	calls := make([]call, x.Calls)
--- a/logic/state.go
+++ b/logic/state.go
@@ -21,6 +21,7 @@
 	came   int     // messages since the last outage began
 	downAt Micros  // when that was seen
 	rank   float64 // messages ahead in the pass at hand
+	msgs   int     // not forgotten
 }
 
 type lane struct {
@@ -142,7 +143,8 @@
 	gone     []*endpoint // off the list, not yet forgotten
 	forgetAt Micros
 	msgs     map[string]*msg
-	held     []*msg // messages not over, in order of arrival
+	held     []*msg // messages not over, in order of arrival, and some that are
+	open     int    // of held, those not over
 	flying   []*attempt
 	busy     int         // slots in use
 	spare    []*endpoint // whose last call ended in this step
@@ -160,6 +162,7 @@
 	many     bool            // senders
 	turned   map[int]float64 // by kind, share of calls turned away
 	short    map[int]Micros  // by kind, until when connections to it count as scarce
+	told     int             // destinations whose limit came in a report
 
 	outOfRotation int // listed endpoints that get no ordinary traffic
 }
@@ -211,16 +214,16 @@
 		return true
 	})
 	used := map[*dest]bool{}
-	for _, m := range s.msgs {
-		used[m.dest] = true
-	}
 	for _, e := range s.gone {
 		used[e.dest] = true
 	}
 	s.order = slices.DeleteFunc(s.order, func(d *dest) bool {
-		if len(d.eps) > 0 || used[d] || s.now < d.used+idleAge {
+		if len(d.eps) > 0 || d.msgs > 0 || used[d] || s.now < d.used+idleAge {
 			return false
 		}
+		if d.lane.told {
+			s.told--
+		}
 		delete(s.dests, d.id)
 		return true
 	})
@@ -287,6 +290,9 @@
 // report takes the limit that an answer tells.
 func (s *Sender) report(e *endpoint, load []float64) {
 	if i := s.set.ReportLimit; i >= 0 && i < len(load) && load[i] > 0 {
+		if !e.lane.told && e.lane == e.dest.lane {
+			s.told++
+		}
 		e.lane.limit, e.lane.told = load[i], true
 		if i := s.set.ReportLeft; i >= 0 && i < len(load) {
 			e.lane.left = load[i]
@@ -297,19 +303,34 @@
 // close forgets a message that is over, once nothing of it is out.
 func (s *Sender) close(m *msg) {
 	if !m.over {
-		m.over = true
-		s.held = slices.DeleteFunc(s.held, func(x *msg) bool { return x == m })
+		s.letGo(m)
 	}
 	if m.out != nil {
 		return
 	}
 	delete(s.msgs, m.id)
+	m.dest.msgs--
 	if l := m.line; l != nil {
 		l.q = slices.DeleteFunc(l.q, func(x *msg) bool { return x == m })
 		m.line = nil
 	}
 }
 
+// hold adds a message to those that are not over.
+func (s *Sender) hold(m *msg) {
+	s.held = append(s.held, m)
+	s.open++
+}
+
+// letGo takes one off. The list is cleared of such when they are many, not each time.
+func (s *Sender) letGo(m *msg) {
+	m.over = true
+	s.open--
+	if len(s.held) > 2*s.open+64 {
+		s.held = slices.DeleteFunc(s.held, func(m *msg) bool { return m.over })
+	}
+}
+
 // landed takes an attempt that has its outcome off the books and reports whether its call is over with it.
 func (s *Sender) landed(a *attempt) bool {
 	a.m.out, a.m.flows = nil, false
@@ -383,7 +404,8 @@
 	m.dest.came++
 	m.share = s.shareOf(c.Tenant)
 	s.msgs[m.id] = m
-	s.held = append(s.held, m)
+	m.dest.msgs++
+	s.hold(m)
 	if class.KeepOrder && c.Key != "" {
 		line := s.keys[c.Key]
 		if line == nil {
@@ -436,7 +458,7 @@
 	if s.set.MaxOpen == 0 {
 		return 0
 	}
-	return float64(len(s.held)) / float64(s.set.MaxOpen)
+	return float64(s.open) / float64(s.set.MaxOpen)
 }
 
 // log writes a line for the people on call, within the cap.
