Keep waiting messages by destination, with what is due, so a step costs what it does

A step went over all messages held: for those whose time is up, for those to send, for one that waits for another destination. What is coming is 20,000 held and more, where a step took milliseconds.

Each destination with waiting messages now has a backlog (logic/queue.go). Priority queues say whose time is up first, which backlog is to be looked at when, and which wait for a slot. Up to 512 waiting messages a step looks at all of them, so nothing changes there. Of more it looks at destinations where something has changed or come due, at those for which a slot is free and at four in turn; of one with more than 128 waiting, at the most urgent ones known and the next 64 in turn. The decisions stand as they were, over what is looked at.

Above 512, order and time may differ from a walk's: a budget or a pace is asked when its time comes, not in each step, the rate of one of many is as old as the last turn, the rank of a message behind a pace is estimated, and a full hold ends the least worthy of those looked at.

--- a/logic/limits_test.go
+++ b/logic/limits_test.go
@@ -9,7 +9,7 @@
 
 // TestModuleLimits keeps the module as short and narrow as its readers were promised.
 func TestModuleLimits(t *testing.T) {
-	for _, name := range []string{"logic.go", "types.go", "state.go", "settings.go"} {
+	for _, name := range []string{"logic.go", "types.go", "state.go", "queue.go", "settings.go"} {
 		text, err := os.ReadFile(name)
 		if err != nil {
 			t.Fatal(err)
--- a/logic/logic.go
+++ b/logic/logic.go
@@ -69,6 +69,9 @@
 	tryFor     = 0.7        // protocol: part of its time for which a message taken on is tried
 	holdHalf   = 0.7        // ours: share of the hold above which messages that the pace cannot send in time end
 	holdFull   = 0.9        // ours: share of the hold above which the least worthy are refused
+	fewWait    = 512        // ours: so many waiting messages are all looked at in each step ...
+	part       = 64         // ours: ... of more, so many in front and in turn of a destination's
+	turns      = 4          // ours: ... and so many destinations in turn, beside those where something is due
 	listUnsure = 6 * Second // protocol: news of the list counts as told so long after a start at the latest
 	askGap     = Second     // ours: first pause before the list is asked for again
 	askMost    = 3 * Second // ours: and the longest
@@ -91,6 +94,7 @@
 		s.askAt = math.MinInt64
 	}
 	s.many = set.Senders > manySenders
+	s.wait, s.few = newIndex(len(set.Classes)), fewWait
 	s.byClass, s.usage = make([]hist, len(set.Classes)), make([]usage, len(set.Tenants))
 	return s, nil
 }
@@ -99,6 +103,7 @@
 func (s *Sender) Step(now Micros, events []Event) []Action {
 	s.now = max(s.now, now)
 	s.step++
+	s.visits = 0
 	s.out, s.wake = nil, never
 	for _, ev := range events {
 		s.take(ev)
@@ -149,6 +154,7 @@
 	}
 	d := s.dest(row.Dest)
 	d.kind = row.Kind
+	s.touch(d)
 	if e == nil || e.dest != d {
 		if e != nil {
 			s.unlist(e)
@@ -220,11 +226,13 @@
 }
 
 // usual is the median served latency of m's destination, else of its class; 0 if neither is known.
-func (s *Sender) usual(m *msg) Micros {
-	if m.dest.hist.total >= minWeight {
-		return m.dest.hist.median
+func (s *Sender) usual(m *msg) Micros { return s.usualAt(m.dest, m.ci) }
+
+func (s *Sender) usualAt(d *dest, class int) Micros {
+	if d.hist.total >= minWeight {
+		return d.hist.median
 	}
-	if h := &s.byClass[m.ci]; h.total >= minWeight {
+	if h := &s.byClass[class]; h.total >= minWeight {
 		return h.median
 	}
 	return 0
@@ -232,20 +240,19 @@
 
 // dispatch sends what the gate lets through, the most urgent first.
 func (s *Sender) dispatch() {
-	var q []*msg
-	for _, m := range s.held {
-		if m.out == nil && !m.over {
-			m.prio = s.rate(m)
-			m.dest.rank = 0
-			q = append(q, m)
-		}
-	}
-	slices.SortStableFunc(q, func(a, b *msg) int { return cmp.Compare(b.prio, a.prio) })
+	s.trials = s.onTrial()
+	q := s.candidates()
+	s.visits += len(q) + len(s.wait.looking)
+	for _, m := range q {
+		m.prio = s.rate(m)
+		m.dest.rank = 0
+	}
+	slices.SortFunc(q, func(a, b *msg) int { return cmp.Or(cmp.Compare(b.prio, a.prio), a.seq-b.seq) })
 	for i, m := range q {
 		if s.send(m) {
 			continue
 		}
-		m.dest.rank++
+		m.dest.rank += m.stands
 		if !s.mayEnd(m) {
 			continue
 		}
@@ -260,8 +267,23 @@
 			s.end(m)
 		}
 	}
+	s.file(q, s.holdsItself)
+}
+
+// holdsItself says whether m is held back by what says nothing of other messages for its destination.
+func (s *Sender) holdsItself(m *msg) bool {
+	l, c := m.line, m.class
+	return s.now < m.rest || l != nil && (l.q[0] != m || s.now < l.quiet && l.by != m) ||
+		m.mayRun && c.ByZone || c.Effect == Unsafe && s.now < m.first+c.Aim
+}
+
+// free is the number of slots that may be taken: of all, and by trials.
+func (s *Sender) free() [2]int {
+	return [2]int{anySlot: max(s.set.Slots-s.busy, 0), trialSlot: max(s.trialsMost()-s.trials, 0)}
 }
 
+func (s *Sender) trialsMost() int { return max(1, s.set.Slots*2/3) }
+
 // mayEnd says whether m may end for want of room: at the door, but once it is taken on and has surely not run
 // only when most of its time is gone. Paces come back, and a restart finds many that nothing was tried for.
 func (s *Sender) mayEnd(m *msg) bool {
@@ -284,6 +306,7 @@
 		ok, at := s.gate(m, e)
 		if !ok {
 			s.at(at)
+			d.backlog.soon = min(d.backlog.soon, at)
 			continue
 		}
 		r := 0
@@ -404,7 +427,7 @@
 func (s *Sender) health(m *msg, e *endpoint) Micros {
 	if e.suspect {
 		switch {
-		case e.inflight > 0 || s.onTrial() >= max(1, s.set.Slots*2/3):
+		case e.inflight > 0 || s.trials >= s.trialsMost():
 			return never
 		case m.class.Effect == Unsafe && s.now < m.first+m.class.Aim:
 			return m.first + m.class.Aim
@@ -680,6 +703,7 @@
 // cutLong calls off attempts at τ, and those that hang at an endpoint that answers nothing.
 func (s *Sender) cutLong() {
 	var oldest *attempt
+	s.visits += len(s.flying)
 	for _, a := range s.flying {
 		if a.cancelled || a.m.flows {
 			continue
@@ -698,6 +722,7 @@
 			a.late = true
 			e.dest.hist.add(s.now, age, true)
 			s.byClass[a.m.ci].add(s.now, age, true)
+			s.relearn(e.dest)
 		}
 		if age <= patience*stuck {
 			s.at(a.at + 1 + stuck*Micros(1+min(age/max(stuck, 1), patience-1)))
@@ -733,13 +758,8 @@
 		}
 	}
 	// What cannot be sent again may wait; but not with the last slot, while others could go.
-	if oldest != nil && s.busy >= s.set.Slots && s.set.Slots > 0 {
-		for _, m := range s.held {
-			if m.out == nil && !m.over && m.dest != oldest.m.dest {
-				s.cancel(oldest)
-				break
-			}
-		}
+	if oldest != nil && s.busy >= s.set.Slots && s.set.Slots > 0 && s.wait.count > oldest.m.dest.waiting() {
+		s.cancel(oldest)
 	}
 }
 
@@ -842,11 +862,15 @@
 	if s.many && e.inflight == 0 {
 		s.spare = append(s.spare, e)
 	}
+	s.relearn(e.dest)
+	s.touch(e.dest)
 	if r.NoMore || m.over {
 		s.close(m)
 		return
 	}
-	s.endIfStuck(m)
+	if s.endIfStuck(m); !m.over {
+		s.enqueue(m)
+	}
 }
 
 // giveBack releases the connections that nothing needs now. Those of many senders, idle ones counted, fill
@@ -1031,34 +1055,55 @@
 
 // endHopeless ends messages whose time is nearly up: unsent ones at a usual call's time before the deadline.
 func (s *Sender) endHopeless() {
-	last := 2 * max(s.set.Tick, 1000)
-	for _, m := range slices.Clone(s.held) {
-		if m.flows || m.over {
-			continue
-		}
-		left := m.deadline - s.now
-		need := last
-		if m.out == nil {
-			need = max(need, s.usual(m))
-			if m.mayRun && m.class.Effect == Keyed {
-				// It has to be sent within its window, not answered.
-				left = min(left, m.firstMay+m.class.Window-s.now+need-last)
+	var q []*msg
+	for i := range s.wait.expiries {
+		for x := &s.wait.expiries[i]; len(x.items) > 0; s.visits++ {
+			g := x.items[0]
+			m := g.queue.items[0]
+			if at := m.ends[g.kind] - s.need(g); at > s.now {
+				s.at(at)
+				break
 			}
+			s.dequeue(m)
+			q = append(q, m)
 		}
-		if left <= need {
-			s.end(m)
+	}
+	s.visits += len(s.flying)
+	for _, a := range s.flying {
+		if a.m.flows || a.m.over {
 			continue
 		}
-		s.at(s.now + left - need)
+		if at := a.m.deadline - s.lastMoment(); at > s.now {
+			s.at(at)
+		} else {
+			q = append(q, a.m)
+		}
+	}
+	slices.SortFunc(q, func(a, b *msg) int { return a.seq - b.seq })
+	for _, m := range q {
+		s.end(m)
 	}
 }
 
+// need is the time that a message has to have left to be worth sending. Within its window it has to be sent,
+// not answered.
+func (s *Sender) need(g *expiry) Micros {
+	if g.kind == byWindow {
+		return s.lastMoment()
+	}
+	return max(s.lastMoment(), s.usualAt(g.dest, g.class))
+}
+
+// lastMoment is the time before its deadline at which a message ends in any case.
+func (s *Sender) lastMoment() Micros { return 2 * max(s.set.Tick, 1000) }
+
 // ---- Timers and age ------------------------------------------------------------------
 
 // ageOut drops the state of a destination that was long idle, once a message for it comes.
 func (s *Sender) ageOut(d *dest) {
 	if s.now-d.used > idleAge && d.lane.inflight == 0 {
 		d.hist, d.lane.pace = hist{}, 0
+		s.relearn(d)
 	}
 	d.used = s.now
 }
--- a/logic/rig_test.go
+++ b/logic/rig_test.go
@@ -88,6 +88,8 @@
 	knows    bool
 	twin     *Sender // must act as s does
 	each     func()  // before each step
+	after    func(evs []Event, acts []Action)
+	clump    int // messages that come at once now and then
 	coldSent []Micros
 	wellSent []Micros
 	peak     float64
@@ -143,7 +145,7 @@
 	return &world{t: t, set: set, rnd: rand.New(rand.NewPCG(seed, 1)), s: s, msgs: map[string]*wmsg{},
 		eps: map[EndpointID]*wep{}, waits: map[string]Micros{}, asked: map[EndpointID]int{},
 		keys: map[string][]*wmsg{}, quiet: map[string]Micros{}, quietBy: map[string]*wmsg{},
-		outage: [2]Micros{12 * Second, 20 * Second}}
+		outage: [2]Micros{12 * Second, 20 * Second}, clump: 15}
 }
 
 // play runs 40 seconds of random traffic.
@@ -167,7 +169,7 @@
 			next = w.now + Micros(w.rnd.IntN(150_000))
 			evs = append(evs, w.arrival())
 			if w.rnd.IntN(40) == 0 { // a clump
-				for range 15 {
+				for range w.clump {
 					evs = append(evs, w.arrival())
 				}
 			}
@@ -313,6 +315,9 @@
 		w.sameAs(acts, w.twin.Step(w.now, evs))
 		w.checkOutOfRotation(w.twin)
 	}
+	if w.after != nil {
+		w.after(evs, acts)
+	}
 	for _, a := range acts {
 		w.trace = append(w.trace, fmt.Sprintf("%d %#v", w.now, a))
 		switch a := a.(type) {
--- a/logic/scale_test.go
+++ b/logic/scale_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 )
 
@@ -19,7 +20,7 @@
 
 // onePaced holds n messages at one destination that takes a hundred calls a second.
 func onePaced(tb testing.TB, n int) *load {
-	l := newLoad(tb, 1)
+	l := newLoad(tb, 1, 1)
 	l.next = func() int64 { return 0 }
 	l.fill(n)
 	return l
@@ -28,7 +29,7 @@
 // mostDown holds ten messages at each of many destinations that are out. The others get a message at a time.
 func mostDown(tb testing.TB, n int) *load {
 	dests := n / 10 * 10 / 9
-	l := newLoad(tb, dests)
+	l := newLoad(tb, dests, 1)
 	at := 0
 	l.next = func() int64 {
 		if at++; at%10 == 0 {
@@ -42,7 +43,25 @@
 	return l
 }
 
-func newLoad(tb testing.TB, dests int) *load {
+// slotsTaken holds ten messages at each of many destinations that all answer, for a few slots.
+func slotsTaken(tb testing.TB, n int) *load {
+	l := newLoad(tb, n/10, 10)
+	l.s.set.Slots = 8
+	at := 0
+	l.next = func() int64 { at++; return int64(at % (n / 10) * 10) }
+	l.fill(n)
+	return l
+}
+
+// trialsScarce is mostDown with fewer slots for trials than trials that are due.
+func trialsScarce(tb testing.TB, n int) *load {
+	l := mostDown(tb, n)
+	l.s.set.Senders, l.s.set.Slots, l.s.many = 2, 3, false
+	return l
+}
+
+// newLoad makes a Sender for some destinations, numbered in steps.
+func newLoad(tb testing.TB, dests, by int) *load {
 	set := base()
 	set.Senders, set.Slots, set.MaxOpen, set.MaxTries, set.Weights = 580, 256, 0, 0, WeightsNominal
 	for i := range set.Classes {
@@ -54,7 +73,7 @@
 	}
 	ev := Endpoints{Form: ListFull}
 	for i := range dests {
-		ev.Entries = append(ev.Entries, Entry{Endpoint: EndpointID(i), Dest: int64(i), Nominal: 100})
+		ev.Entries = append(ev.Entries, Entry{Endpoint: EndpointID(i * by), Dest: int64(i * by), Nominal: 100})
 	}
 	return &load{s: s, evs: []Event{ev}}
 }
@@ -90,12 +109,14 @@
 	}
 }
 
+var loads = []struct {
+	name string
+	make func(testing.TB, int) *load
+}{{"one paced", onePaced}, {"most down", mostDown}, {"slots taken", slotsTaken}, {"trials scarce", trialsScarce}}
+
 func BenchmarkStep(b *testing.B) {
-	for _, x := range []struct {
-		name string
-		make func(testing.TB, int) *load
-	}{{"one paced", onePaced}, {"most down", mostDown}} {
-		for _, n := range []int{100, 1000, 5000, 20000} {
+	for _, x := range loads {
+		for _, n := range []int{100, 500, 1000, 5000, 20000} {
 			b.Run(fmt.Sprintf("%s/held=%d", x.name, n), func(b *testing.B) {
 				l := x.make(b, n)
 				for b.Loop() {
@@ -106,3 +127,280 @@
 		}
 	}
 }
+
+// run makes n steps and returns how much is looked at in one, and how many calls it makes.
+func (l *load) run(n int) (visits, calls float64) {
+	for range n {
+		l.step()
+		visits += float64(l.s.visits)
+		for _, ev := range l.evs {
+			if _, ok := ev.(Reply); ok {
+				calls++
+			}
+		}
+	}
+	return visits / float64(n), calls / float64(n)
+}
+
+// A step costs what it does, not what is held, and does no less for it.
+func TestStepCostsWhatItDoes(t *testing.T) {
+	for _, x := range loads {
+		few, some := x.make(t, 1000).run(600)
+		for _, n := range []int{5000, 20000} {
+			visits, calls := x.make(t, n).run(600)
+			t.Logf("%s: %.0f looked at in a step with 1000 held, %.0f with %d; calls %.2f, %.2f", x.name, few, visits, n, some, calls)
+			if visits > 3*few {
+				t.Errorf("%s: %.0f looked at in a step with %d held, %.0f with 1000", x.name, visits, n, few)
+			}
+			if calls < 0.95*some {
+				t.Errorf("%s: %.2f calls in a step with %d held, %.2f with 1000", x.name, calls, n, some)
+			}
+		}
+		l := x.make(t, 1000)
+		l.s.few = 1000_000
+		if _, all := l.run(600); some < 0.95*all {
+			t.Errorf("%s: %.2f calls in a step, %.2f where all are looked at", x.name, some, all)
+		}
+	}
+}
+
+// quiet makes a Sender that holds n messages at one paced destination, all of them long past their aim.
+func quiet(t *testing.T, n int) *load {
+	l := newLoad(t, 1, 1)
+	l.s.set.Halves = true
+	l.next = func() int64 { return 0 }
+	for range n {
+		l.call()
+	}
+	l.evs = append(l.evs, Call{ID: "riser", Left: 36000*Second + 20*Second, Dest: 0, Tenant: -1, Class: 1})
+	l.s.Step(0, l.evs)
+	l.s.dests[0].lane.until = 15 * Second
+	l.evs = nil
+	for _, a := range l.s.flying {
+		l.evs = append(l.evs, Reply{ID: a.m.id, Endpoint: a.ep.id, NoMore: true, Took: l.s.set.Tick})
+	}
+	return l
+}
+
+// until steps on to the call for a message and returns how many calls come before it.
+func (l *load) until(t *testing.T, id string) (n int) {
+	for range 2000 {
+		l.now += l.s.set.Tick
+		acts := only[CallOut](l.s.Step(l.now, l.evs))
+		l.evs = nil
+		for _, c := range acts {
+			l.evs = append(l.evs, Reply{ID: c.ID, Endpoint: c.Endpoint, NoMore: true, Took: l.s.set.Tick})
+		}
+		if i := slices.IndexFunc(acts, func(c CallOut) bool { return c.ID == id }); i >= 0 {
+			return n + i
+		}
+		n += len(acts)
+	}
+	t.Fatalf("%s is not sent", id)
+	return n
+}
+
+// Of many the new message that is worth most goes first, and one that becomes so while it waits goes once it is seen.
+func TestMostUrgentOfManyGoesFirst(t *testing.T) {
+	for _, n := range []int{1000, 5000} {
+		l := quiet(t, n)
+		l.now = 14 * Second
+		l.evs = append(l.evs, Call{ID: "new", Left: 36000*Second - 2*Second, Dest: 0, Tenant: -1, Class: 1})
+		if k := l.until(t, "new"); k > 0 {
+			t.Errorf("of %d: %d calls before that for the new message", n, k)
+		}
+		m := l.s.msgs["riser"]
+		m.first = l.now + Second/2 - m.class.Aim // its time comes in half a second
+		if k := l.until(t, "riser"); k > 50+n/part {
+			t.Errorf("of %d: %d calls before that for the one that has become urgent", n, k)
+		}
+	}
+}
+
+// Messages of one key go one after the other without a pause, however many wait for their turn.
+func TestLongLineOfOneKey(t *testing.T) {
+	l := newLoad(t, 1, 10)
+	l.s.set.Classes[0].KeepOrder, l.s.set.Weights = true, WeightsOff
+	for i := range 2000 {
+		l.evs = append(l.evs, Call{ID: fmt.Sprint(i), Left: 36000 * Second, Key: "k", Dest: 0, Tenant: -1})
+	}
+	for i := range 400 {
+		l.now += l.s.set.Tick
+		out := only[CallOut](l.s.Step(l.now, l.evs))
+		if len(out) != 1 || out[0].ID != fmt.Sprint(i) {
+			t.Fatalf("step %d: %v", i, out)
+		}
+		l.evs = []Event{Reply{ID: out[0].ID, NoMore: true, Took: l.s.set.Tick}}
+		checkBooks(t, l.s)
+	}
+}
+
+// What waits for something of its own does not keep the others of its destination waiting, nor the module busy.
+func TestHeldBackByThemselves(t *testing.T) {
+	l := mostDown(t, 2000)
+	l.s.set.Classes[1].KeepOrder = true
+	for i := range 1900 {
+		l.evs = append(l.evs, Call{ID: fmt.Sprint("k", i), Left: 36000 * Second, Key: "k", Dest: 0, Tenant: -1, Class: 1})
+	}
+	l.s.eps[0].state = Draining
+	l.now += l.s.set.Tick
+	l.s.Step(l.now, l.evs)
+	l.s.keys["k"].q[0].rest = 36000 * Second // so the others wait for it
+	l.evs = []Event{Endpoints{Entries: []Entry{{Endpoint: 0, Dest: 0, Nominal: 100}}}}
+	for i := range 20 {
+		l.evs = append(l.evs, Call{ID: fmt.Sprint("p", i), Left: 36000 * Second, Dest: 0, Tenant: -1})
+	}
+	l.next = func() int64 { return 10 } // none comes here any more
+	for range 150 {
+		l.step()
+	}
+	for i := range 20 {
+		if m := l.s.msgs[fmt.Sprint("p", i)]; m != nil && m.out == nil {
+			t.Errorf("%s is not sent", m.id)
+		}
+	}
+	looks := 0
+	for range 200 {
+		if l.step(); l.s.dests[0].backlog.looked == l.s.step {
+			looks++
+		}
+	}
+	if looks > 40 {
+		t.Errorf("looked at in %d of 200 steps though nothing changes", looks)
+	}
+	late := l.s.keys["k"].q[0]
+	late.rest = l.now + Second
+	l.s.touch(late.dest)
+	for range 300 {
+		l.step()
+	}
+	if late.tries == 0 {
+		t.Error("the first of its key is not sent after its rest")
+	}
+}
+
+// A change at a destination is looked at in the step that brings it.
+func TestChangeIsLookedAt(t *testing.T) {
+	for name, change := range map[string]func(i int) Event{
+		"gone": func(i int) Event {
+			return Endpoints{Entries: []Entry{{Endpoint: EndpointID(i), Dest: int64(i), State: Gone}}}
+		},
+		"listed": func(i int) Event { return Endpoints{Entries: []Entry{{Endpoint: EndpointID(i), Dest: int64(i)}}} },
+		"new":    func(i int) Event { return Call{ID: fmt.Sprint("new", i), Left: Second, Dest: int64(i), Tenant: -1} },
+	} {
+		l := mostDown(t, 2000)
+		for i := 1; i < 10; i++ {
+			l.now += l.s.set.Tick
+			l.s.Step(l.now, []Event{change(i)})
+			if l.s.dests[int64(i)].backlog.looked != l.s.step {
+				t.Errorf("%s: destination %d is not looked at", name, i)
+			}
+		}
+	}
+}
+
+// No message is looked at twice in a step.
+func TestSampleHasEachOnce(t *testing.T) {
+	for _, n := range []int{100, 130, 2000} {
+		l := onePaced(t, n)
+		for step := l.s.step + 1; step < l.s.step+50; step++ {
+			seen := map[*msg]bool{}
+			for _, m := range l.s.dests[0].backlog.sample(step, nil) {
+				if seen[m] {
+					t.Fatalf("%s is in a sample of %d twice", m.id, n)
+				}
+				seen[m] = true
+			}
+		}
+	}
+}
+
+// A timer that goes off late, or a clock that jumps, makes ends late, and no more: all of them come in that step.
+func TestLateTimerEndsAll(t *testing.T) {
+	for _, few := range []int{0, fewWait} {
+		l := mostDown(t, 2000)
+		l.s.few = few
+		l.now += 40000 * Second
+		acts := l.s.Step(l.now, l.evs)
+		if n := len(only[Refuse](acts)) + len(only[Fail](acts)); n < 2000 {
+			t.Errorf("%d ends", n)
+		}
+		if l.s.wait.count > 2 {
+			t.Errorf("%d wait on", l.s.wait.count)
+		}
+		checkBooks(t, l.s)
+	}
+}
+
+// Odd events where many wait: the books stay right, and nothing is done for what is not known.
+func TestOddEventsWhereManyWait(t *testing.T) {
+	l := mostDown(t, 2000)
+	id := l.s.held[1000].id
+	for _, evs := range [][]Event{
+		{Call{ID: id, Left: 36000 * Second, Dest: 1, Tenant: -1}},                      // again, for another destination
+		{Call{ID: "none", Left: -Second, Dest: 77777, Tenant: 9, Class: 1}},            // over when it comes
+		{Call{ID: "odd", Dest: 1, Class: 99}, Call{ID: "odd", Dest: 1, Class: -1}},     // of no class
+		{Reply{ID: id, Attempt: 99}, Reply{ID: id, Attempt: -1}, ClientGone{"nobody"}}, // of nothing that is out
+		{ClientGone{id}, ClientGone{id}, Reply{ID: id}},
+		{Endpoints{Form: ListDelta, Entries: []Entry{{Endpoint: 1, Dest: 2}, {Endpoint: 2, Dest: 1}}}}, // moved
+		{Endpoints{Form: ListFull}}, // nothing is left
+		{Due{99}, Started{ID: id}, Closing{Left: Second}},
+	} {
+		l.s.Step(l.now, evs)
+		checkBooks(t, l.s)
+	}
+	l.s.Step(0, nil) // a clock that goes back
+	checkBooks(t, l.s)
+	l.s.Step(never, []Event{Endpoints{Form: ListFull, Entries: []Entry{{Endpoint: 1, Dest: 1}}}}) // and one that runs out
+	checkBooks(t, l.s)
+	if l.s.wait.count > 0 {
+		t.Errorf("%d wait past the end of time", l.s.wait.count)
+	}
+}
+
+// With more coming than a pace sends and a hold that is nearly full, the door turns away about what it does where all
+// are looked at, and as much is delivered.
+func TestFullHoldWhereManyWait(t *testing.T) {
+	play := func(few int) (delivered, returned int) {
+		set := base()
+		set.MaxOpen, set.Senders, set.MaxTries, set.Slots = 1500, 1, 0, 64
+		s, err := New(set, 1)
+		if err != nil {
+			t.Fatal(err)
+		}
+		s.few = few
+		evs := []Event{Endpoints{Form: ListFull, Entries: []Entry{{Endpoint: 1, Dest: 1}}}}
+		n := 0
+		for now := Micros(0); now < 40*Second; now += set.Tick {
+			for range 2 { // 400 a second
+				if n++; s.open < set.MaxOpen {
+					evs = append(evs, Call{ID: fmt.Sprint(n), Left: set.Classes[n%2].Deadline, Dest: 1, Tenant: -1, Class: n % 2})
+				}
+			}
+			s.dest(1).lane.pace = 100
+			acts := s.Step(now, evs)
+			evs = nil
+			for _, c := range only[CallOut](acts) {
+				delivered++
+				evs = append(evs, Reply{ID: c.ID, Endpoint: 1, Attempt: s.msgs[c.ID].tries - 1, NoMore: true, Took: set.Tick})
+			}
+			for _, r := range only[Refuse](acts) {
+				if s.now < Second {
+					t.Fatalf("%s is turned away by an empty hold", r.ID)
+				}
+				returned++
+			}
+			checkBooks(t, s)
+		}
+		return delivered, returned
+	}
+	sent, returned := play(0)
+	wantSent, wantReturned := play(1000_000)
+	t.Logf("%d delivered, %d returned; where all are looked at %d, %d", sent, returned, wantSent, wantReturned)
+	if float64(sent) < 0.97*float64(wantSent) {
+		t.Errorf("%d delivered, %d where all are looked at", sent, wantSent)
+	}
+	if x := float64(returned) / float64(wantReturned); x < 0.9 || x > 1.1 {
+		t.Errorf("%d returned, %d where all are looked at", returned, wantReturned)
+	}
+}
--- a/logic/size_test.go
+++ b/logic/size_test.go
@@ -62,8 +62,8 @@
 	}
 }
 
-// backlog are n messages for destinations that no endpoint serves, so that they stay.
-func backlog(n int) (evs []Event) {
+// stranded are n messages for destinations that no endpoint serves, so that they stay.
+func stranded(n int) (evs []Event) {
 	for i := range n {
 		evs = append(evs, Call{ID: fmt.Sprintf("%016x", i), Left: 14 * Second, Dest: -1, Tenant: -1, Class: 2})
 	}
@@ -161,7 +161,7 @@
 			if err != nil {
 				b.Fatal(err)
 			}
-			evs := backlog(n)
+			evs := stranded(n)
 			before := liveHeap()
 			s.Step(0, evs)
 			each := float64(liveHeap()-before) / float64(n)
@@ -183,7 +183,7 @@
 		if err != nil {
 			b.Fatal(err)
 		}
-		s.Step(0, append([]Event{destList(x.dests)}, backlog(x.held)...))
+		s.Step(0, append([]Event{destList(x.dests)}, stranded(x.held)...))
 		text, err := s.Snapshot()
 		if err != nil {
 			b.Fatal(err)
--- a/logic/snapshot.go
+++ b/logic/snapshot.go
@@ -65,7 +65,7 @@
 	Fulls     int
 	FirstFull Micros
 	Sent      []Micros
-	Served    []Micros
+	Served    []Micros `json:",omitempty"` // not of older builds
 	Peak      float64
 	Phase     float64
 }
@@ -402,5 +402,10 @@
 		}
 		s.keys[key] = l
 	}
+	for _, m := range s.held {
+		if m.out == nil {
+			s.enqueue(m)
+		}
+	}
 	return nil
 }
--- a/logic/snapshot_test.go
+++ b/logic/snapshot_test.go
@@ -122,3 +122,47 @@
 		t.Error(err)
 	}
 }
+
+// A snapshot that an older build wrote, with calls out, is taken up whole and written down again byte for byte, so
+// that the older build can take it back; and what was held goes on.
+func TestSnapshotOfAnOlderBuildWithCallsOut(t *testing.T) {
+	for _, name := range []string{"ordered", "batches"} {
+		text, err := os.ReadFile("testdata/snapshot-" + name + ".json")
+		if err != nil {
+			t.Fatal(err)
+		}
+		set := variants()[name]
+		s, err := Restore(set, text)
+		if err != nil {
+			t.Fatal(err)
+		}
+		checkBooks(t, s)
+		again, err := s.Snapshot()
+		if err != nil {
+			t.Fatal(err)
+		}
+		if !bytes.Equal(text, again) {
+			t.Errorf("%s: written down again it differs:\n%s\n%s", name, text, again)
+		}
+		held, out := s.open, len(s.flying)
+		if held == 0 || out == 0 {
+			t.Fatalf("%s: %d held, %d out", name, held, out)
+		}
+		other, err := Restore(set, text)
+		if err != nil {
+			t.Fatal(err)
+		}
+		ends := 0
+		for now := s.now; ends < held && now < s.now+20*Second; now += Second / 10 {
+			acts := s.Step(now, nil)
+			if want := walk(other, now, nil); !reflect.DeepEqual(acts, want) {
+				t.Fatalf("%s: at %d it does %v, want %v", name, now, acts, want)
+			}
+			checkBooks(t, s)
+			ends += len(only[Refuse](acts)) + len(only[Fail](acts))
+		}
+		if ends != held {
+			t.Errorf("%s: %d of %d end", name, ends, held)
+		}
+	}
+}
--- a/logic/state.go
+++ b/logic/state.go
@@ -11,17 +11,18 @@
 
 // dest is a destination. Its lane is the limit that its endpoints share; routes apart have one each.
 type dest struct {
-	id     int64
-	kind   int
-	eps    []*endpoint // listed, in list order
-	next   int         // rotation of first sends
-	lane   *lane
-	hist   hist
-	used   Micros
-	came   int     // messages since the last outage began
-	downAt Micros  // when that was seen
-	rank   float64 // messages ahead in the pass at hand
-	msgs   int     // not forgotten
+	id      int64
+	kind    int
+	eps     []*endpoint // listed, in list order
+	next    int         // rotation of first sends
+	lane    *lane
+	hist    hist
+	used    Micros
+	came    int      // messages since the last outage began
+	downAt  Micros   // when that was seen
+	rank    float64  // messages ahead in the pass at hand
+	msgs    int      // not forgotten
+	backlog *backlog // nil if nothing waits
 }
 
 type lane struct {
@@ -104,6 +105,13 @@
 	over     bool
 	flows    bool
 	prio     float64
+
+	// While it waits.
+	place  int       // in its destination's backlog, from one on; 0 if it does not wait
+	ends   [2]Micros // when its time is up, by what bounds it
+	expiry [2]int    // places in the queues by that
+	seen   int       // step in which it was last in a sample
+	stands float64   // for so many in the pass at hand
 }
 
 type keyLine struct {
@@ -145,7 +153,11 @@
 	msgs     map[string]*msg
 	held     []*msg // messages not over, in order of arrival, and some that are
 	open     int    // of held, those not over
+	wait     index  // those that wait
+	few      int    // waiting messages that are all looked at in each step
+	visits   int    // messages, attempts and destinations looked at in this step
 	flying   []*attempt
+	trials   int         // slots that calls to endpoints that seem out hold, in dispatch
 	busy     int         // slots in use
 	spare    []*endpoint // whose last call ended in this step
 	seq      int
@@ -191,6 +203,7 @@
 	}
 	s.setStatus(e, Gone, e.suspect)
 	e.goneAt = s.now
+	s.touch(e.dest)
 	e.dest.eps = slices.DeleteFunc(e.dest.eps, func(x *endpoint) bool { return x == e })
 }
 
@@ -244,6 +257,14 @@
 	return d
 }
 
+// waiting is the number of messages that wait for d.
+func (d *dest) waiting() int {
+	if d.backlog == nil {
+		return 0
+	}
+	return len(d.backlog.waiting)
+}
+
 func (s *Sender) kind(d *dest) Kind {
 	if d.kind >= 0 && d.kind < len(s.set.Kinds) {
 		return s.set.Kinds[d.kind]
@@ -311,23 +332,12 @@
 	delete(s.msgs, m.id)
 	m.dest.msgs--
 	if l := m.line; l != nil {
-		l.q = slices.DeleteFunc(l.q, func(x *msg) bool { return x == m })
+		i := slices.Index(l.q, m)
+		l.q = slices.Delete(l.q, i, i+1)
 		m.line = nil
-	}
-}
-
-// hold adds a message to those that are not over.
-func (s *Sender) hold(m *msg) {
-	s.held = append(s.held, m)
-	s.open++
-}
-
-// letGo takes one off. The list is cleared of such when they are many, not each time.
-func (s *Sender) letGo(m *msg) {
-	m.over = true
-	s.open--
-	if len(s.held) > 2*s.open+64 {
-		s.held = slices.DeleteFunc(s.held, func(m *msg) bool { return m.over })
+		if i == 0 && len(l.q) > 0 && l.q[0].place > 0 {
+			s.advance(l.q[0])
+		}
 	}
 }
 
@@ -368,6 +378,10 @@
 		m.firstMay, m.mayZone = s.now, e.zone
 	}
 	s.flying = append(s.flying, a)
+	if e.suspect {
+		s.trials++
+	}
+	s.dequeue(m)
 	return a
 }
 
@@ -415,7 +429,9 @@
 		line.q = append(line.q, m)
 		m.line = line
 	}
-	s.resume(m, c.Past)
+	if s.resume(m, c.Past); !m.over {
+		s.enqueue(m)
+	}
 }
 
 // keepOnly takes off the list what is not among the entries.
