Let the directory of the list be used outside the node, with the time told

directory becomes Directory, newDirectory NewDirectory and take Take, which is given the time instead of asking the clock; Addr says where an endpoint can be reached. No change of behaviour: go vet passes.

--- a/internal/node/answer_test.go
+++ b/internal/node/answer_test.go
@@ -255,7 +255,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	d := newDirectory(cfg)
+	d := NewDirectory(cfg)
 	seen := map[logic.EndpointID]bool{}
 	now := time.Now()
 	held := false
@@ -265,7 +265,7 @@
 		if i > 0 {
 			l.Instances = append(l.Instances, Instance{ID: fmt.Sprint("s-", i-1), Dest: 1, Lifecycle: "removed"})
 		}
-		rows := d.take(l)
+		rows := d.Take(l, time.Now())
 		if seen[rows[0].Endpoint] {
 			t.Fatalf("number %d is given twice", rows[0].Endpoint)
 		}
@@ -293,7 +293,7 @@
 	if !held {
 		t.Error("no endpoint was off the list with a call out")
 	}
-	d.take(List{Reset: true})
+	d.Take(List{Reset: true}, time.Now())
 	d.forget(time.Now().Add(2*keepGone), nil)
 	if len(d.eps)+len(d.ids)+len(d.dests)+len(d.gone) != 0 {
 		t.Errorf("left: %d endpoints, %d names, %d destinations, %d gone", len(d.eps), len(d.ids), len(d.dests), len(d.gone))
@@ -319,14 +319,14 @@
 			}
 			l.Instances = append(l.Instances, in)
 		}
-		n.dir.take(l)
+		n.dir.Take(l, time.Now())
 		st, err := n.handoverState()
 		if err != nil {
 			t.Fatal(err)
 		}
-		later := newDirectory(n.cfg)
+		later := NewDirectory(n.cfg)
 		later.restore(st)
-		for who, d := range map[string]*directory{"this process": n.dir, "the next": later} {
+		for who, d := range map[string]*Directory{"this process": n.dir, "the next": later} {
 			if d.listed() != len(on) {
 				t.Fatalf("list %d: %s has %d endpoints, want %d", i, who, d.listed(), len(on))
 			}
--- a/internal/node/bulk_test.go
+++ b/internal/node/bulk_test.go
@@ -30,7 +30,7 @@
 		t.Fatal(err)
 	}
 	t.Cleanup(func() { n.journal.Close() })
-	rows := n.dir.take(List{Generation: 1, Reset: true, Instances: instances(e)})
+	rows := n.dir.Take(List{Generation: 1, Reset: true, Instances: instances(e)}, time.Now())
 	for _, id := range slices.Sorted(maps.Keys(bodies)) {
 		n.held[id] = &held{msg: &Message{ID: id, Class: "safe", Body: []byte(bodies[id])}, trail: trail{came: time.Now()}}
 		n.callOut(t.Context(), logic.CallOut{ID: id, GiveUp: micros(patience), Endpoint: rows[0].Endpoint}, true)
--- a/internal/node/discovery.go
+++ b/internal/node/discovery.go
@@ -59,8 +59,8 @@
 	epoch int           // of the address that it comes from
 }
 
-// directory maps the list's names to the module's numbers. The loop owns it.
-type directory struct {
+// Directory maps the list's names to the module's numbers. The loop owns it.
+type Directory struct {
 	zones []string
 	kinds []logic.Kind
 	ids   map[string]logic.EndpointID
@@ -79,20 +79,24 @@
 	kind int
 }
 
-func newDirectory(cfg *Config) *directory {
-	return &directory{zones: cfg.Deploy.Zones, kinds: cfg.Deploy.Settings.Kinds,
+// NewDirectory makes an empty directory for a deployment.
+func NewDirectory(cfg *Config) *Directory {
+	return &Directory{zones: cfg.Deploy.Zones, kinds: cfg.Deploy.Settings.Kinds,
 		ids: map[string]logic.EndpointID{}, eps: map[logic.EndpointID]target{}, dests: map[int64]int{},
 		gone: map[logic.EndpointID]time.Time{}}
 }
 
+// Addr is where an endpoint can be reached, as hostPort of the list; empty if it is not known.
+func (d *Directory) Addr(id logic.EndpointID) string { return d.eps[id].addr }
+
 // listed is how many endpoints are on the list.
-func (d *directory) listed() int { return len(d.eps) - len(d.gone) }
+func (d *Directory) listed() int { return len(d.eps) - len(d.gone) }
 
 // serves says whether a destination has an endpoint, or had one a short while ago.
-func (d *directory) serves(dest int64) bool { return d.dests[dest] > 0 }
+func (d *Directory) serves(dest int64) bool { return d.dests[dest] > 0 }
 
 // forget drops endpoints that have long been off the list, but for those in use.
-func (d *directory) forget(now time.Time, inUse map[logic.EndpointID]bool) {
+func (d *Directory) forget(now time.Time, inUse map[logic.EndpointID]bool) {
 	for id, at := range d.gone {
 		if now.Sub(at) > keepGone && !inUse[id] {
 			d.drop(id)
@@ -100,7 +104,7 @@
 	}
 }
 
-func (d *directory) drop(id logic.EndpointID) {
+func (d *Directory) drop(id logic.EndpointID) {
 	to, ok := d.eps[id]
 	if !ok {
 		return
@@ -113,11 +117,10 @@
 	}
 }
 
-// take turns a list into the module's entries. An endpoint keeps its number as long
+// Take turns a list that came at a time into the module's entries. An endpoint keeps its number as long
 // as it is on the list, whatever its address, and for a while after.
-func (d *directory) take(l List) []logic.Entry {
+func (d *Directory) Take(l List, now time.Time) []logic.Entry {
 	rows := make([]logic.Entry, 0, len(l.Instances))
-	now := time.Now()
 	if l.Reset {
 		on := map[string]bool{}
 		for _, in := range l.Instances {
@@ -169,7 +172,7 @@
 }
 
 // leave notes that an endpoint is off the list.
-func (d *directory) leave(id logic.EndpointID, now time.Time) {
+func (d *Directory) leave(id logic.EndpointID, now time.Time) {
 	if _, ok := d.gone[id]; !ok {
 		d.gone[id] = now
 	}
--- a/internal/node/handover.go
+++ b/internal/node/handover.go
@@ -477,7 +477,7 @@
 }
 
 // restore brings the directory back.
-func (d *directory) restore(st *handover) {
+func (d *Directory) restore(st *handover) {
 	d.last = st.Last
 	for _, x := range st.Targets {
 		to := target{name: x.Name, addr: x.Addr, zone: x.Zone, kind: x.Kind, dest: x.Dest}
--- a/internal/node/loop.go
+++ b/internal/node/loop.go
@@ -67,7 +67,7 @@
 	journal *Journal
 	sender  *logic.Sender
 	caller  *caller
-	dir     *directory
+	dir     *Directory
 	disc    *discovery
 	notices *notices
 	clients *clients
@@ -114,7 +114,7 @@
 	spent.done("lock")
 	figures := newFigures(cfg)
 	// The module asks for the list only where it must, and anywhere after a failed call.
-	n := &Node{cfg: cfg, log: log, lock: lock, follow: !set.OnRequest, sender: sender, dir: newDirectory(cfg), figures: figures,
+	n := &Node{cfg: cfg, log: log, lock: lock, follow: !set.OnRequest, sender: sender, dir: NewDirectory(cfg), figures: figures,
 		caller: newCaller(span(cfg.Deploy.ConnectTimeout), span(set.ConnIdle), set.Slots, shareOut(cfg), &figures.relayed),
 		events: make(chan any, eventRoom), ready: make(chan net.Addr, 1), start: time.Now(), stages: spent, due: time.NewTimer(time.Hour), held: map[string]*held{}, out: map[string]*held{}, recent: map[string]time.Time{}}
 	n.caller.copies = cfg.Deploy.SecondCopies
@@ -335,7 +335,7 @@
 func (n *Node) resume() {
 	if n.cfg.Known.Generation != 0 || len(n.cfg.Known.Instances) > 0 {
 		n.disc.gen, n.disc.started = n.cfg.Known.Generation, true
-		n.next = append(n.next, logic.Endpoints{Form: logic.ListCached, Entries: n.dir.take(n.cfg.Known)})
+		n.next = append(n.next, logic.Endpoints{Form: logic.ListCached, Entries: n.dir.Take(n.cfg.Known, time.Now())})
 	}
 	now := time.Now().UnixMicro()
 	for _, e := range n.journal.Entries() {
@@ -462,7 +462,7 @@
 	if ev.list.Reset {
 		form = logic.ListFull
 	}
-	rows := n.dir.take(ev.list)
+	rows := n.dir.Take(ev.list, time.Now())
 	if ev.list.Reset || len(rows) > 0 { // not each watch that ends without news
 		n.log.Info("list", "generation", ev.list.Generation, "whole", ev.list.Reset, "entries", len(ev.list.Instances))
 	}
--- a/internal/node/node_test.go
+++ b/internal/node/node_test.go
@@ -97,7 +97,7 @@
 		t.Fatal(err)
 	}
 	defer n.journal.Close()
-	n.dir.take(List{Reset: true, Instances: []Instance{{ID: "s", HostPort: "127.0.0.1:1", Dest: 1, Lifecycle: "up"}}})
+	n.dir.Take(List{Reset: true, Instances: []Instance{{ID: "s", HostPort: "127.0.0.1:1", Dest: 1, Lifecycle: "up"}}}, time.Now())
 	answer := make(chan string, 1)
 	put := putEvent{Message{ID: "a", Class: "safe", Dest: 1, Body: make([]byte, 100)}, answer}
 	n.open = cfg.Deploy.Settings.MaxOpen
@@ -463,8 +463,8 @@
 			t.Fatal(err)
 		}
 		defer n.journal.Close()
-		n.dir.take(List{Instances: []Instance{{ID: "a", HostPort: "h:1", Kind: "std", Dest: 1},
-			{ID: "b", HostPort: "h:2", Kind: "std", Dest: 1}, {ID: "c", HostPort: "h:3", Kind: "std", Dest: 2}}})
+		n.dir.Take(List{Instances: []Instance{{ID: "a", HostPort: "h:1", Kind: "std", Dest: 1},
+			{ID: "b", HostPort: "h:2", Kind: "std", Dest: 1}, {ID: "c", HostPort: "h:3", Kind: "std", Dest: 2}}}, time.Now())
 		var calls []*call
 		for i, ep := range []logic.EndpointID{1, 2, 3, 1} {
 			calls = append(calls, &call{ep: ep, state: new(atomic.Int32)})
--- a/internal/node/scale_test.go
+++ b/internal/node/scale_test.go
@@ -265,17 +265,17 @@
 		b.Run(fmt.Sprint(size), func(b *testing.B) {
 			text := listText(size)
 			cfg := emptyNode(b, b.TempDir()).cfg
-			take := func() (*directory, *logic.Sender) {
+			take := func() (*Directory, *logic.Sender) {
 				list, err := readList(bytes.NewReader(text))
 				if err != nil {
 					b.Fatal(err)
 				}
-				d := newDirectory(cfg)
+				d := NewDirectory(cfg)
 				s, err := logic.New(cfg.Deploy.Settings, 1)
 				if err != nil {
 					b.Fatal(err)
 				}
-				s.Step(0, []logic.Event{logic.Endpoints{Form: logic.ListFull, Entries: d.take(list)}})
+				s.Step(0, []logic.Event{logic.Endpoints{Form: logic.ListFull, Entries: d.Take(list, time.Now())}})
 				return d, s
 			}
 			before := heap()
