--- a/logic/state.go
+++ b/logic/state.go
@@ -469,6 +469,12 @@
 	}
 }
 
+// Out says whether an endpoint is taken for out: single trials only go there.
+func (s *Sender) Out(id EndpointID) bool {
+	e := s.eps[id]
+	return e != nil && e.suspect
+}
+
 // crowd is the share of the hold that is taken.
 func (s *Sender) crowd() float64 {
 	if s.set.MaxOpen == 0 {
