Run a fleet of hollow senders on one virtual clock, with scenarios in TOML

The same seed gives the same digest of the trace, another one does not; 100 drawn scenarios with faults and restarts end each event exactly once.

A gap drawn for a rate of next to nothing overflowed the clock and hung the first run of that test: gaps are bounded now.

--- /dev/null
+++ b/internal/hollow/clock.go
@@ -0,0 +1,85 @@
+package hollow
+
+import (
+	"container/heap"
+	"hash/fnv"
+	"math/rand/v2"
+
+	"ravenmount/logic"
+)
+
+// entry is something that happens at a time. Those of one time happen in the order in which they were set.
+type entry struct {
+	at  logic.Micros
+	seq uint64
+	do  func()
+}
+
+// agenda is a heap of events, the next one first.
+type agenda []entry
+
+func (a agenda) Len() int { return len(a) }
+func (a agenda) Less(i, j int) bool {
+	return a[i].at < a[j].at || a[i].at == a[j].at && a[i].seq < a[j].seq
+}
+func (a agenda) Swap(i, j int) { a[i], a[j] = a[j], a[i] }
+func (a *agenda) Push(x any)   { *a = append(*a, x.(entry)) }
+func (a *agenda) Pop() any {
+	old := *a
+	n := len(old) - 1
+	x := old[n]
+	old[n] = entry{}
+	*a = old[:n]
+	return x
+}
+
+// clock is the virtual time and what is to happen.
+type clock struct {
+	now    logic.Micros // since the start of the run
+	seq    uint64
+	agenda agenda
+}
+
+// at sets do for a time, or for now if that is past.
+func (c *clock) at(t logic.Micros, do func()) {
+	c.seq++
+	heap.Push(&c.agenda, entry{max(t, c.now), c.seq, do})
+}
+
+// forever is later than any run lasts.
+const forever = 1e15
+
+// span turns microseconds into a span that a time can be moved by.
+func span(micros float64) logic.Micros { return logic.Micros(min(micros, forever)) }
+
+func (c *clock) after(d logic.Micros, do func()) { c.at(c.now+d, do) }
+
+// next moves on to the next event up to a time and runs it; false if there is none.
+func (c *clock) next(until logic.Micros) bool {
+	if len(c.agenda) == 0 || c.agenda[0].at > until {
+		c.now = max(c.now, until)
+		return false
+	}
+	e := heap.Pop(&c.agenda).(entry)
+	c.now = e.at
+	e.do()
+	return true
+}
+
+// derive makes the seed of the n-th component of a name.
+func derive(seed uint64, name string, n int) uint64 {
+	h := fnv.New64a()
+	h.Write([]byte(name))
+	for _, x := range []uint64{seed, uint64(n)} {
+		for i := range 8 {
+			h.Write([]byte{byte(x >> (8 * i))})
+		}
+	}
+	return h.Sum64()
+}
+
+// stream is the random source of the n-th component of a name.
+func stream(seed uint64, name string, n int) *rand.Rand {
+	s := derive(seed, name, n)
+	return rand.New(rand.NewPCG(s, ^s))
+}
--- /dev/null
+++ b/internal/hollow/fleet_test.go
@@ -0,0 +1,148 @@
+package hollow
+
+import (
+	"context"
+	"errors"
+	"reflect"
+	"testing"
+
+	"pgregory.net/rapid"
+
+	"ravenmount/logic"
+)
+
+// small is a short scenario with all that can go wrong.
+func small() *Scenario {
+	sc := Default()
+	sc.Duration, sc.Drain, sc.Day = seconds(20), seconds(16), seconds(20)
+	sc.Fleet.Senders, sc.Fleet.Regions, sc.Fleet.Zones, sc.Fleet.Restarts, sc.Fleet.Losses = 6, 2, 3, 8, 3
+	sc.Traffic.Rate, sc.Traffic.Popularity = 60, "zipf"
+	sc.Classes = []ClassPart{defaultClass,
+		{Name: "keyed", Share: 0.5, Aim: seconds(1), Deadline: seconds(8), Worth: 1, Effect: "keyed", Window: seconds(6)},
+		{Name: "unsafe", Share: 0.5, Aim: seconds(1), Deadline: seconds(8), Worth: 1, Effect: "unsafe"}}
+	sc.Destinations.Count, sc.Destinations.Rate, sc.Destinations.Reports, sc.Destinations.DownShare = 6, 20, true, 0.1
+	sc.Destinations.Refuse, sc.Destinations.ComeBack, sc.Destinations.DownHow = "429", seconds(0.3), "mixed"
+	sc.Destinations.Connections, sc.Destinations.DownFor = 8, seconds(3)
+	sc.Discovery.Changes, sc.Discovery.Drain = 10, seconds(3)
+	sc.Faults = []FaultPart{{What: faultZone, At: seconds(8), For: seconds(3), Number: 1, Count: 1},
+		{What: faultLink, At: seconds(12), For: seconds(4), Other: 1, Count: 1}}
+	return &sc
+}
+
+func play(t interface{ Fatal(...any) }, sc *Scenario) *Report {
+	r, err := Run(context.Background(), sc, Options{})
+	if err != nil {
+		t.Fatal(err)
+	}
+	return r
+}
+
+func TestSameSeedSameRun(t *testing.T) {
+	a, b := play(t, small()), play(t, small())
+	a.Machine, b.Machine = Machine{}, Machine{}
+	if !reflect.DeepEqual(a, b) {
+		t.Errorf("two runs of one seed differ:\n%+v\n%+v", a, b)
+	}
+	if a.Delivered == 0 || a.Restarts == 0 || a.Losses == 0 || a.IntoOutages == 0 || a.InForce.Changes == 0 {
+		t.Errorf("the run has not met all that it should: %+v", a)
+	}
+	sc := small()
+	sc.Seed++
+	if c := play(t, sc); c.Digest == a.Digest {
+		t.Errorf("digest %s with two seeds", c.Digest)
+	}
+}
+
+// Each event ends exactly once, whatever fails, or is still held; and once the longest deadline is over nothing is.
+// A second end of an event is an error of the run.
+func TestEachEventEndsOnce(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		sc := small()
+		sc.Seed = rapid.Uint64().Draw(t, "seed")
+		sc.Duration, sc.Day = seconds(6), seconds(6)
+		cut := rapid.Bool().Draw(t, "cut")
+		if cut {
+			sc.Drain = 0
+		}
+		sc.Fleet.Senders = rapid.IntRange(1, 20).Draw(t, "senders")
+		sc.Fleet.MaxOpen = rapid.SampledFrom([]int{0, 5, 2000}).Draw(t, "max_open")
+		sc.Fleet.Restarts = rapid.Float64Range(0, 30).Draw(t, "restarts")
+		sc.Fleet.Losses = rapid.Float64Range(0, 10).Draw(t, "losses")
+		sc.Destinations.Rate = rapid.Float64Range(2, 60).Draw(t, "rate")
+		sc.Destinations.Connections = rapid.IntRange(0, 8).Draw(t, "connections")
+		sc.Destinations.DownShare = rapid.Float64Range(0, 0.5).Draw(t, "down")
+		sc.Faults = rapid.SliceOfN(rapid.Custom(func(t *rapid.T) FaultPart {
+			x := FaultPart{What: rapid.SampledFrom(faultNames).Draw(t, "what"), At: Span(rapid.IntRange(0, 6e6).Draw(t, "at")),
+				For: Span(rapid.IntRange(1, 4e6).Draw(t, "for")), Count: 1, Factor: 0.2}
+			x.How = rapid.SampledFrom(outageNames).Draw(t, "how")
+			if x.What == faultLink {
+				x.Other = 1
+			}
+			return x
+		}), 0, 4).Draw(t, "faults")
+		r := play(t, sc)
+		if sum := r.Delivered + r.Returned + r.Failed + r.Held; sum != r.Offered {
+			t.Fatalf("%d events offered, %d accounted for: %+v", r.Offered, sum, r.Counts)
+		}
+		if !cut && r.Held != 0 {
+			t.Fatalf("%d events held after the longest deadline", r.Held)
+		}
+	})
+}
+
+// A process that is killed leaves its journal: what it held is tried again, and what may have run binds.
+func TestRestartKeepsTheJournal(t *testing.T) {
+	sc := Default()
+	sc.Fleet.Senders, sc.Destinations.Count, sc.Classes = 1, 1, []ClassPart{defaultClass}
+	f := newFleet(&sc)
+	s := f.senders[0]
+	f.disc.ask(s)
+	s.inForce = s.agent
+	s.start()
+	for f.next(logic.Second) {
+	}
+	f.rec.Offered = 2
+	o := &offer{number: 1, born: f.now}
+	f.handIn(s, o)
+	f.next(f.now) // the step
+	m := s.held["1-0"]
+	if m == nil || m.call == nil {
+		t.Fatal("the message is not out")
+	}
+	late := &offer{number: 2, born: f.now}
+	f.handIn(s, late)
+	f.restart(s)
+	if s.up || m.call != nil || !m.mayRun || s.held["1-0"] != m {
+		t.Errorf("after the kill: up %v, %+v", s.up, m)
+	}
+	if s.held["2-0"] != nil || f.rec.waiting != 1 {
+		t.Error("what was not taken on is not with its client")
+	}
+	for f.next(5 * logic.Second) {
+	}
+	if !o.ended || !late.ended || f.rec.Delivered != 2 {
+		t.Errorf("%d delivered of 2", f.rec.Delivered)
+	}
+}
+
+func TestCutShort(t *testing.T) {
+	ctx, cancel := context.WithCancel(context.Background())
+	cancel()
+	r, err := Run(ctx, small(), Options{})
+	if err != nil || !r.Cut || r.Offered != r.Delivered+r.Returned+r.Failed+r.Held {
+		t.Errorf("%+v, %v", r, err)
+	}
+}
+
+func TestRunThatDoesNotFit(t *testing.T) {
+	sc := Default()
+	sc.Fleet.Senders, sc.Destinations.Count, sc.Classes = 580, 35_000, []ClassPart{defaultClass}
+	if _, err := Run(context.Background(), &sc, Options{MemoryMB: 12_000}); err == nil {
+		t.Error("25 GB of modules are let into 12 GB")
+	}
+	sc.Fleet.Senders = -1
+	var bad *FieldError
+	if _, err := Run(context.Background(), &sc, Options{}); !errors.As(err, &bad) || bad.Field != "fleet.senders" {
+		t.Errorf("error %v", err)
+	}
+}
--- /dev/null
+++ b/internal/hollow/sweep.go
@@ -0,0 +1,90 @@
+package hollow
+
+import (
+	"fmt"
+	"io"
+	"math"
+	"strings"
+	"text/tabwriter"
+)
+
+// column is a figure of a sweep's table.
+type column struct {
+	name  string
+	value func(*Report) float64
+}
+
+var columns = []column{
+	{"offered", func(r *Report) float64 { return float64(r.Offered) }},
+	{"delivered", func(r *Report) float64 { return float64(r.Delivered) }},
+	{"late", func(r *Report) float64 { return float64(r.Late) }},
+	{"returned", func(r *Report) float64 { return float64(r.Returned) }},
+	{"failed", func(r *Report) float64 { return float64(r.Failed) }},
+	{"p99_ms", func(r *Report) float64 { return r.Latency.P99 }},
+	{"into_outages", func(r *Report) float64 { return float64(r.IntoOutages) }},
+	{"notice_mean_s", func(r *Report) float64 { return r.Notice.Mean }},
+	{"notice_worst_s", func(r *Report) float64 { return r.Notice.Worst }},
+	{"unnoticed", func(r *Report) float64 { return float64(r.Unnoticed) }},
+	{"cold_calls", func(r *Report) float64 { return float64(r.Cold.Calls) }},
+	{"cold_allowed", func(r *Report) float64 { return r.Cold.Allowed }},
+	{"falls", func(r *Report) float64 { return float64(r.Falls) }},
+	{"connections", func(r *Report) float64 { return float64(r.Connections) }},
+	{"list_bytes", func(r *Report) float64 { return float64(r.List.Whole) }},
+	{"list_bytes_per_s", func(r *Report) float64 { return r.ListRate }},
+	{"in_force_mean_s", func(r *Report) float64 { return r.InForce.Mean }},
+	{"in_force_worst_s", func(r *Report) float64 { return r.InForce.Worst }},
+	{"steps", func(r *Report) float64 { return float64(r.Steps) }},
+	{"heap_per_sender", func(r *Report) float64 { return float64(r.Machine.HeapPerSender) }},
+	{"step_us", func(r *Report) float64 { return r.Machine.StepMicros }},
+	{"cpu_s", func(r *Report) float64 { return r.Machine.CPU }},
+}
+
+// WriteSweep writes a table with a column for each report, by the size along an axis, and the slope of each figure: the
+// exponent b of the power law size^b that fits it best, over the sizes where it is above 0.
+func WriteSweep(w io.Writer, axis string, sizes []int, reports []*Report) error {
+	t := tabwriter.NewWriter(w, 0, 0, 2, ' ', tabwriter.AlignRight)
+	head := []string{axis}
+	for _, n := range sizes[:len(reports)] {
+		head = append(head, fmt.Sprint(n))
+	}
+	fmt.Fprintln(t, strings.Join(append(head, "slope", ""), "\t"))
+	for _, c := range columns {
+		line := []string{c.name}
+		var xs, ys []float64
+		for i, r := range reports {
+			y := c.value(r)
+			line = append(line, number(y))
+			if y > 0 {
+				xs, ys = append(xs, math.Log(float64(sizes[i]))), append(ys, math.Log(y))
+			}
+		}
+		if b, ok := slope(xs, ys); ok {
+			line = append(line, fmt.Sprintf("%.2f", b))
+		} else {
+			line = append(line, "-")
+		}
+		fmt.Fprintln(t, strings.Join(append(line, ""), "\t"))
+	}
+	return t.Flush()
+}
+
+func number(x float64) string {
+	if x == math.Trunc(x) {
+		return fmt.Sprintf("%.0f", x)
+	}
+	return fmt.Sprintf("%.3f", x)
+}
+
+// slope is that of the line with the least squares; false if the points are too few.
+func slope(xs, ys []float64) (float64, bool) {
+	n := float64(len(xs))
+	var sx, sy, sxx, sxy float64
+	for i, x := range xs {
+		sx, sy, sxx, sxy = sx+x, sy+ys[i], sxx+x*x, sxy+x*ys[i]
+	}
+	d := n*sxx - sx*sx
+	if n < 2 || d < 1e-12 {
+		return 0, false
+	}
+	return (n*sxy - sx*sy) / d, true
+}
