--- a/internal/hollow/fleet.go
+++ b/internal/hollow/fleet.go
@@ -87,24 +87,25 @@
 			sc.Fleet.Senders, sc.Destinations.Count, sc.Destinations.Endpoints, need, opt.MemoryMB)
 	}
 	began, used := time.Now(), cpuTime()
-	f := newFleet(sc)
-	before := heapBytes()
-	f.begins()
-	f.rec.heap = heapBytes() - before
-	runtime.KeepAlive(f)
 	end := sc.Length().Micros
+	f := newFleet(sc)
 	said, cut := began, false
-	for n := 1; f.err == nil && f.next(end); n++ {
-		if n%checkEvery != 0 {
-			continue
-		}
-		if cut = ctx.Err() != nil; cut {
-			break
-		}
-		if now := time.Now(); opt.Progress != nil && now.Sub(began) > progressAfter && now.Sub(said) > progressEvery {
+	look := func() bool { // whether to go on
+		now := time.Now()
+		if opt.Progress != nil && now.Sub(began) > progressAfter && now.Sub(said) > progressEvery {
 			said = now
 			opt.Progress(Progress{Span{f.now}, Span{end}, f.rec.Offered})
 		}
+		cut = ctx.Err() != nil
+		return !cut
+	}
+	before := heapBytes()
+	f.begins(look)
+	f.rec.heap = heapBytes() - before
+	for n := 1; !cut && f.err == nil && f.next(end); n++ {
+		if n%checkEvery == 0 {
+			look()
+		}
 	}
 	if f.err != nil {
 		return nil, f.err
@@ -161,9 +162,12 @@
 	return e
 }
 
-// begins starts all senders and sets what is to come.
-func (f *fleet) begins() {
+// begins starts all senders, unless it is not to go on, and sets what is to come.
+func (f *fleet) begins(look func() bool) {
 	for _, s := range f.senders {
+		if !look() {
+			return
+		}
 		f.disc.ask(s)
 		s.inForce = s.agent // it is the list of the start, no change
 		s.start()
--- a/internal/hollow/report.go
+++ b/internal/hollow/report.go
@@ -78,9 +78,25 @@
 	HeapPerSender int64   `json:"heap_per_sender_bytes"` // module, directory and the model's share, after the start
 	CPU           float64 `json:"cpu_s"`                 // of the whole process
 	Wall          float64 `json:"wall_s"`
-	StepMicros    float64 `json:"step_us"` // time of a module's step on the clock of this machine, mean
+	Step          float64 `json:"step_us"`  // mean time of a module's step, but for a start's first, on this machine's clock
+	Take          float64 `json:"take_us"`  // of the directory's taking a change of the list
+	Start         float64 `json:"start_us"` // of a process taking the whole list and its journal
 }
 
+// stopwatch adds up what parts of the real program take on this machine.
+type stopwatch struct {
+	n    int64
+	time time.Duration
+}
+
+func (s *stopwatch) add(began time.Time) {
+	s.n++
+	s.time += time.Since(began)
+}
+
+// mean is in microseconds.
+func (s *stopwatch) mean() float64 { return float64(s.time.Nanoseconds()) / 1e3 / float64(max(s.n, 1)) }
+
 // Report is what a run measured. All but Machine is the same for the same scenario and seed.
 type Report struct {
 	Title        string `json:"title"`
@@ -107,17 +123,18 @@
 // record is what a run notes as it goes.
 type record struct {
 	Counts
-	waiting  int64 // events with clients
-	latency  *hdrhistogram.Histogram
-	noticed  int64
-	notices  logic.Micros
-	longest  logic.Micros
-	cold     coldWindow
-	peak     int64
-	peakAt   logic.Micros
-	course   []sample
-	stepTime time.Duration
-	heap     int64
+	waiting int64 // events with clients
+	latency *hdrhistogram.Histogram
+	noticed int64
+	notices logic.Micros
+	longest logic.Micros
+	cold    coldWindow
+	peak    int64
+	peakAt  logic.Micros
+	course  []sample
+	heap    int64
+
+	steps, takes, starts stopwatch
 }
 
 func newRecord() *record { return &record{latency: hdrhistogram.New(1, mostMicros, 3)} }
@@ -195,10 +212,8 @@
 	if f.now > 0 {
 		out.ListRate = float64(out.List.Changes+out.List.Empty) / (float64(f.now) / 1e6)
 	}
-	out.Machine = Machine{HeapPerSender: r.heap / n, CPU: cpu.Seconds(), Wall: wall.Seconds()}
-	if r.Steps > 0 {
-		out.Machine.StepMicros = float64(r.stepTime.Microseconds()) / float64(r.Steps)
-	}
+	out.Machine = Machine{HeapPerSender: r.heap / n, CPU: cpu.Seconds(), Wall: wall.Seconds(), Step: r.steps.mean(),
+		Take: r.takes.mean(), Start: r.starts.mean()}
 	return out
 }
 
@@ -235,7 +250,8 @@
 		r.InForce.Changes, r.InForce.Open)
 	line("backlog", "peak %d at %s", r.PeakHeld, r.PeakAt)
 	line("modules", "%d steps; digest %s", r.Steps, r.Digest)
-	line("machine", "%.1f s CPU, %.1f s, %.1f us a step, %d bytes of heap a sender", r.Machine.CPU, r.Machine.Wall, r.Machine.StepMicros,
-		r.Machine.HeapPerSender)
+	m := &r.Machine
+	line("machine", "%.1f s CPU, %.1f s; a step %.1f us, a change of the list %.1f us, a start %.0f us; %d bytes of heap a sender", m.CPU,
+		m.Wall, m.Step, m.Take, m.Start, m.HeapPerSender)
 	return t.Flush()
 }
--- a/internal/hollow/sender.go
+++ b/internal/hollow/sender.go
@@ -103,7 +103,9 @@
 	s.up, s.upAt, s.module, s.rested = true, f.now, module, f.now-set.Tick
 	s.dir = node.NewDirectory(&node.Config{Deploy: wire.Deployment{Settings: set, Zones: f.disc.zones}})
 	s.idle, s.noticed = map[logic.EndpointID][]*conn{}, map[*outage]*noting{}
-	s.next = append(s.next, logic.Endpoints{Form: logic.ListCached, Entries: s.dir.Take(f.disc.whole(s.agent), s.wall())})
+	known := f.disc.whole(s.agent)
+	began := time.Now()
+	s.next = append(s.next, logic.Endpoints{Form: logic.ListCached, Entries: s.dir.Take(known, s.wall())})
 	for _, m := range s.owed() {
 		s.open++
 		c := s.event(m)
@@ -115,6 +117,7 @@
 	}
 	f.note(traceStart, s.number, s.life, len(s.next))
 	s.step()
+	f.rec.starts.add(began)
 	s.watch()
 }
 
@@ -235,7 +238,9 @@
 	s.next, s.fresh, s.rested = nil, nil, f.now // what is fresh is taken on, or ends in this step
 	began := time.Now()                         // for the report alone
 	actions := s.module.Step(f.now, events)
-	f.rec.stepTime += time.Since(began)
+	if s.upAt < f.now { // the first one counts with the start
+		f.rec.steps.add(began)
+	}
 	f.rec.Steps++
 	s.waking = true // what this step brings waits for the next
 	for _, a := range actions {
@@ -307,7 +312,9 @@
 
 // list hands the process what its agent was told.
 func (s *sender) list(l node.List) {
+	began := time.Now()
 	rows := s.dir.Take(l, s.wall())
+	s.f.rec.takes.add(began)
 	form := logic.ListDelta
 	if l.Reset {
 		form = logic.ListFull
--- a/internal/hollow/sweep.go
+++ b/internal/hollow/sweep.go
@@ -35,7 +35,9 @@
 	{"in_force_worst_s", func(r *Report) float64 { return r.InForce.Worst }},
 	{"steps", func(r *Report) float64 { return float64(r.Steps) }},
 	{"heap_per_sender", func(r *Report) float64 { return float64(r.Machine.HeapPerSender) }},
-	{"step_us", func(r *Report) float64 { return r.Machine.StepMicros }},
+	{"step_us", func(r *Report) float64 { return r.Machine.Step }},
+	{"take_us", func(r *Report) float64 { return r.Machine.Take }},
+	{"start_us", func(r *Report) float64 { return r.Machine.Start }},
 	{"cpu_s", func(r *Report) float64 { return r.Machine.CPU }},
 }
 
