--- a/cmd/hollow/main.go
+++ b/cmd/hollow/main.go
@@ -43,10 +43,11 @@
 }
 
 type runCommand struct {
-	Scenario string `arg:"" help:"Name of a scenario, or its file."`
-	Senders  int    `help:"Senders, instead of those of the scenario."`
-	Seed     uint64 `help:"Seed, instead of that of the scenario."`
-	JSON     string `name:"json" help:"Write the report to this file too." type:"path"`
+	Scenario     string `arg:"" help:"Name of a scenario, or its file."`
+	Senders      int    `help:"Senders, instead of those of the scenario."`
+	Destinations int    `help:"Destinations, instead of those of the scenario."`
+	Seed         uint64 `help:"Seed, instead of that of the scenario."`
+	JSON         string `name:"json" help:"Write the report to this file too." type:"path"`
 }
 
 func (c *runCommand) Run(env *environment) error {
@@ -57,6 +58,9 @@
 	if c.Senders != 0 {
 		sc.Fleet.Senders = c.Senders
 	}
+	if c.Destinations != 0 {
+		sc.Destinations.Count = c.Destinations
+	}
 	if c.Seed != 0 {
 		sc.Seed = c.Seed
 	}
--- a/cmd/hollow/main_test.go
+++ b/cmd/hollow/main_test.go
@@ -40,7 +40,7 @@
 		errs string // and to the errors
 	}{
 		{"run quick --json " + report, 0, "a quick one, seed 1", ""},
-		{"run quick --senders 3 --seed 9", 0, "3 senders", ""},
+		{"run quick --senders 3 --destinations 4 --seed 9", 0, "3 senders, 4 destinations", ""},
 		{"run " + filepath.Join(dir, "quick.toml"), 0, "digest", ""},
 		{"run " + bad, 2, "", bad + ":2: fleet.senders: want 1 or more"},
 		{"run quick --senders=-1", 2, "", "fleet.senders: want 1 or more"},
--- a/internal/hollow/call.go
+++ b/internal/hollow/call.go
@@ -30,7 +30,7 @@
 	}
 	s.flying = append(s.flying, c)
 	f.rec.Calls++
-	f.note(traceCall, s.number, int(m.number), c.ep.number)
+	f.traceEvent(traceCall, s.number, int(m.number), c.ep.number)
 	s.sendsInto(c)
 	f.after(a.GiveUp, func() { c.giveUp(logic.Overdue) })
 	if c.conn = s.kept(a.Endpoint); c.conn != nil {
@@ -137,7 +137,7 @@
 		c.answer(logic.Full, 0, nil)
 	case d.arrives(f.now):
 		f.rec.Falls++
-		f.begin(d, downRefused, f.sc.Cold.FallFor.Micros)
+		f.startOutage(d, downRefused, f.sc.Cold.FallFor.Micros)
 		c.answer(logic.Severed, 0, nil)
 	case !d.admits(f.now):
 		f.rec.OverLimit++
@@ -200,7 +200,7 @@
 			c.conn.close()
 		}
 	}
-	f.note(traceReply, s.number, int(m.number), int(o))
+	f.traceEvent(traceReply, s.number, int(m.number), int(o))
 	ended := m.over
 	if !ended && o == logic.Completed {
 		f.end(m.offer, delivered)
--- a/internal/hollow/clock.go
+++ b/internal/hollow/clock.go
@@ -8,28 +8,28 @@
 	"ravenmount/logic"
 )
 
-// entry is something that happens at a time. Those of one time happen in the order in which they were set.
-type entry struct {
+// event is something that happens at a time. Those of one time happen in the order in which they were set.
+type event struct {
 	at  logic.Micros
 	seq uint64
 	do  func()
 }
 
-// agenda is a heap of events, the next one first.
-type agenda []entry
+// eventQueue is a heap of events, the next one first.
+type eventQueue []event
 
-func (a agenda) Len() int { return len(a) }
-func (a agenda) Less(i, j int) bool {
-	return a[i].at < a[j].at || a[i].at == a[j].at && a[i].seq < a[j].seq
+func (q eventQueue) Len() int { return len(q) }
+func (q eventQueue) Less(i, j int) bool {
+	return q[i].at < q[j].at || q[i].at == q[j].at && q[i].seq < q[j].seq
 }
-func (a agenda) Swap(i, j int) { a[i], a[j] = a[j], a[i] }
-func (a *agenda) Push(x any)   { *a = append(*a, x.(entry)) }
-func (a *agenda) Pop() any {
-	old := *a
+func (q eventQueue) Swap(i, j int) { q[i], q[j] = q[j], q[i] }
+func (q *eventQueue) Push(x any)   { *q = append(*q, x.(event)) }
+func (q *eventQueue) Pop() any {
+	old := *q
 	n := len(old) - 1
 	x := old[n]
-	old[n] = entry{}
-	*a = old[:n]
+	old[n] = event{}
+	*q = old[:n]
 	return x
 }
 
@@ -37,13 +37,13 @@
 type clock struct {
 	now    logic.Micros // since the start of the run
 	seq    uint64
-	agenda agenda
+	events eventQueue
 }
 
 // at sets do for a time, or for now if that is past.
 func (c *clock) at(t logic.Micros, do func()) {
 	c.seq++
-	heap.Push(&c.agenda, entry{max(t, c.now), c.seq, do})
+	heap.Push(&c.events, event{max(t, c.now), c.seq, do})
 }
 
 // forever is later than any run lasts.
@@ -56,11 +56,11 @@
 
 // next moves on to the next event up to a time and runs it; false if there is none.
 func (c *clock) next(until logic.Micros) bool {
-	if len(c.agenda) == 0 || c.agenda[0].at > until {
+	if len(c.events) == 0 || c.events[0].at > until {
 		c.now = max(c.now, until)
 		return false
 	}
-	e := heap.Pop(&c.agenda).(entry)
+	e := heap.Pop(&c.events).(event)
 	c.now = e.at
 	e.do()
 	return true
--- a/internal/hollow/discovery.go
+++ b/internal/hollow/discovery.go
@@ -158,7 +158,7 @@
 	f := d.f
 	d.changed, d.at, d.lag = append(d.changed, rows), append(d.at, f.now), append(d.lag, 0)
 	d.behind = append(d.behind, len(f.senders))
-	f.note(traceList, int(d.generation()), len(rows), 0)
+	f.traceEvent(traceList, int(d.generation()), len(rows), 0)
 	for _, s := range f.senders {
 		spread := logic.Micros(float64(f.sc.Discovery.Spread.Micros) * s.spread.Float64())
 		f.after(spread, func() { d.tell(s) })
--- a/internal/hollow/faults.go
+++ b/internal/hollow/faults.go
@@ -4,13 +4,13 @@
 	"ravenmount/logic"
 )
 
-// strike begins a fault of the timeline.
-func (f *fleet) strike(x FaultPart) {
+// inject begins a fault of the timeline.
+func (f *fleet) inject(x FaultPart) {
 	lasts := x.For.Micros
 	switch x.What {
 	case faultOutage:
 		for _, d := range f.dests[x.Number : x.Number+x.Count] {
-			f.begin(d, x.How, lasts)
+			f.startOutage(d, x.How, lasts)
 		}
 	case faultLimit:
 		for _, d := range f.dests[x.Number : x.Number+x.Count] {
@@ -23,12 +23,12 @@
 		}
 	case faultLoss:
 		for _, s := range f.senders[x.Number : x.Number+x.Count] {
-			f.vanish([]*machine{s.machine}, max(lasts, f.sc.Fleet.Start.Micros))
+			f.failMachines([]*machine{s.machine}, max(lasts, f.sc.Fleet.Start.Micros))
 		}
 	case faultRack:
-		f.vanish(f.machines(func(m *machine) bool { return m.rack == x.Number }), lasts)
+		f.failMachines(f.machines(func(m *machine) bool { return m.rack == x.Number }), lasts)
 	case faultZone:
-		f.vanish(f.machines(func(m *machine) bool { return m.zone == x.Number }), lasts)
+		f.failMachines(f.machines(func(m *machine) bool { return m.zone == x.Number }), lasts)
 	case faultLink:
 		f.top.cut[link(x.Number, x.Other)] = max(f.top.cut[link(x.Number, x.Other)], f.now+lasts)
 	}
@@ -63,8 +63,8 @@
 	})
 }
 
-// vanish takes machines away for a while. Senders come back with nothing, endpoints with no connections.
-func (f *fleet) vanish(list []*machine, lasts logic.Micros) {
+// failMachines takes machines away for a while. Senders come back with nothing, endpoints with no connections.
+func (f *fleet) failMachines(list []*machine, lasts logic.Micros) {
 	o := &outage{how: downSilent, from: f.now}
 	struck := map[*machine]bool{}
 	for _, m := range list {
@@ -107,7 +107,7 @@
 	}
 	e.machine.gone = nil
 	f.reset(e)
-	f.over(o)
+	f.forgetOutage(o)
 }
 
 // reset ends all connections to an endpoint; calls under way are cut off.
@@ -121,13 +121,13 @@
 	}
 }
 
-// begin takes a destination down. If it is down already, the later end counts.
-func (f *fleet) begin(d *destination, how string, lasts logic.Micros) {
+// startOutage takes a destination down. If it is down already, the later end counts.
+func (f *fleet) startOutage(d *destination, how string, lasts logic.Micros) {
 	d.until = max(d.until, f.now+lasts)
 	if d.down != nil {
 		return
 	}
-	f.note(traceDown, d.id, int(lasts), 0)
+	f.traceEvent(traceDown, d.id, int(lasts), 0)
 	f.rec.Outages++
 	d.down = &outage{how: how, from: f.now}
 	f.rec.window(d.worst)
@@ -137,16 +137,16 @@
 			f.reset(e)
 		}
 	}
-	f.at(d.until, func() { f.returns(d) })
+	f.at(d.until, func() { f.endOutage(d) })
 }
 
-// returns brings a destination back, cold, once its time is up.
-func (f *fleet) returns(d *destination) {
+// endOutage brings a destination back, cold, once its time is up.
+func (f *fleet) endOutage(d *destination) {
 	if f.now < d.until {
-		f.at(d.until, func() { f.returns(d) })
+		f.at(d.until, func() { f.endOutage(d) })
 		return
 	}
-	f.note(traceUp, d.id, 0, 0)
+	f.traceEvent(traceUp, d.id, 0, 0)
 	o := d.down
 	d.down, d.backAt, d.lately = nil, f.now, nil
 	d.limit.tokens, d.limit.filled = 0, f.now
@@ -155,11 +155,11 @@
 			f.reset(e)
 		}
 	}
-	f.over(o)
+	f.forgetOutage(o)
 }
 
-// over forgets what senders make of an outage that has ended.
-func (f *fleet) over(o *outage) {
+// forgetOutage drops what senders make of an outage that has ended.
+func (f *fleet) forgetOutage(o *outage) {
 	for _, s := range f.senders {
 		if s.noticed[o] == nil {
 			continue
@@ -175,8 +175,8 @@
 	}
 }
 
-// ordinary takes a destination down and up at random, so that the share that is down holds from the start.
-func (f *fleet) ordinary(d *destination) {
+// randomOutages takes a destination down and up at random, so that the share that is down holds from the start.
+func (f *fleet) randomOutages(d *destination) {
 	set := &f.sc.Destinations
 	if set.DownShare == 0 {
 		return
@@ -190,7 +190,7 @@
 			how = outageNames[r.IntN(len(outageNames))]
 		}
 		lasts := mean * r.ExpFloat64()
-		f.begin(d, how, span(lasts))
+		f.startOutage(d, how, span(lasts))
 		f.after(span(lasts+mean*(1-set.DownShare)/set.DownShare*r.ExpFloat64()), down)
 	}
 	if r.Float64() < set.DownShare {
--- a/internal/hollow/fleet.go
+++ b/internal/hollow/fleet.go
@@ -48,8 +48,8 @@
 	err     error
 }
 
-// note adds to the digest of the trace: what, when and three numbers.
-func (f *fleet) note(what, a, b, c int) {
+// traceEvent adds to the digest of the trace: what, when and three numbers.
+func (f *fleet) traceEvent(what, a, b, c int) {
 	var text [40]byte
 	for i, x := range []uint64{uint64(what), uint64(f.now), uint64(a), uint64(b), uint64(c)} {
 		binary.LittleEndian.PutUint64(text[8*i:], x)
@@ -72,7 +72,7 @@
 }
 
 const (
-	checkEvery    = 4096 // events of the agenda between two looks at the time and the context
+	checkEvery    = 4096 // events between two looks at the time and the context
 	progressAfter = 10 * time.Second
 	progressEvery = 5 * time.Second
 )
@@ -100,7 +100,7 @@
 		return !cut
 	}
 	before := heapBytes()
-	f.begins(look)
+	f.start(look)
 	f.rec.heap = heapBytes() - before
 	for n := 1; !cut && f.err == nil && f.next(end); n++ {
 		if n%checkEvery == 0 {
@@ -162,8 +162,8 @@
 	return e
 }
 
-// begins starts all senders, unless it is not to go on, and sets what is to come.
-func (f *fleet) begins(look func() bool) {
+// start starts all senders, unless it is not to go on, and sets what is to come.
+func (f *fleet) start(look func() bool) {
 	for _, s := range f.senders {
 		if !look() {
 			return
@@ -174,16 +174,16 @@
 		f.arrivals(s)
 	}
 	for _, d := range f.dests {
-		f.ordinary(d)
+		f.randomOutages(d)
 	}
 	f.daily(f.changes, f.sc.Discovery.Changes/2, f.disc.replace) // each makes two changes
 	restarts, losses := stream(f.sc.Seed, "restarts", 0), stream(f.sc.Seed, "losses", 0)
 	f.daily(restarts, f.sc.Fleet.Restarts, func() { f.restart(f.senders[restarts.IntN(len(f.senders))]) })
 	f.daily(losses, f.sc.Fleet.Losses, func() {
-		f.vanish([]*machine{f.senders[losses.IntN(len(f.senders))].machine}, f.sc.Fleet.Start.Micros)
+		f.failMachines([]*machine{f.senders[losses.IntN(len(f.senders))].machine}, f.sc.Fleet.Start.Micros)
 	})
 	for _, x := range f.sc.Faults {
-		f.at(x.At.Micros, func() { f.strike(x) })
+		f.at(x.At.Micros, func() { f.inject(x) })
 	}
 	for i := range samples {
 		f.at(f.sc.Length().Micros*logic.Micros(i+1)/samples, f.sample)
@@ -223,7 +223,7 @@
 			o.dest = pick(f.popular, r)
 		}
 		f.rec.Offered++
-		f.note(traceOffer, s.number, o.class, o.dest)
+		f.traceEvent(traceOffer, s.number, o.class, o.dest)
 		if n := f.rec.open(); n > f.rec.peak {
 			f.rec.peak, f.rec.peakAt = n, f.now
 		}
@@ -253,14 +253,14 @@
 	case s.up:
 		s.put(o)
 	case s.machine.gone != nil:
-		f.elsewhere(s, o, frontNotices)
+		f.redirect(s, o, frontNotices)
 	default:
-		f.elsewhere(s, o, 0)
+		f.redirect(s, o, 0)
 	}
 }
 
-// elsewhere hands a message to any sender that is up, after a while.
-func (f *fleet) elsewhere(s *sender, o *offer, wait logic.Micros) {
+// redirect hands a message to any sender that is up, after a while.
+func (f *fleet) redirect(s *sender, o *offer, wait logic.Micros) {
 	f.rec.waiting++
 	f.after(wait, func() {
 		f.rec.waiting--
@@ -275,7 +275,7 @@
 				return
 			}
 		}
-		f.elsewhere(s, o, clientRest)
+		f.redirect(s, o, clientRest)
 	})
 }
 
@@ -295,7 +295,7 @@
 		return
 	}
 	o.ended = true
-	f.note(traceEnd, int(o.number), int(e), 0)
+	f.traceEvent(traceEnd, int(o.number), int(e), 0)
 	f.rec.end(f.now-o.born, e, &f.sc.Classes[o.class])
 }
 
--- a/internal/hollow/sender.go
+++ b/internal/hollow/sender.go
@@ -115,7 +115,7 @@
 		}
 		s.next = append(s.next, c)
 	}
-	f.note(traceStart, s.number, s.life, len(s.next))
+	f.traceEvent(traceStart, s.number, s.life, len(s.next))
 	s.step()
 	f.rec.starts.add(began)
 	s.watch()
@@ -144,7 +144,7 @@
 // what it held is handed to others.
 func (s *sender) kill(vanished bool) {
 	f := s.f
-	f.note(traceKill, s.number, s.life, len(s.flying))
+	f.traceEvent(traceKill, s.number, s.life, len(s.flying))
 	s.life++
 	s.up, s.module, s.dir, s.next, s.open, s.waking = false, nil, nil, nil, 0, false
 	s.unseen, s.noticed = nil, nil
@@ -176,16 +176,16 @@
 	if !vanished {
 		shut()
 		for _, m := range lost {
-			f.elsewhere(s, m.offer, 0)
+			f.redirect(s, m.offer, 0)
 		}
 		return
 	}
 	f.after(f.sc.Destinations.ConnIdle.Micros, shut)
 	for _, m := range lost {
-		f.elsewhere(s, m.offer, frontNotices)
+		f.redirect(s, m.offer, frontNotices)
 	}
 	for _, m := range s.owed() {
-		f.elsewhere(s, m.offer, lossNotices)
+		f.redirect(s, m.offer, lossNotices)
 	}
 	clear(s.held)
 }
--- a/internal/hollow/standin_test.go
+++ b/internal/hollow/standin_test.go
@@ -142,8 +142,8 @@
 		{name: "over the limit", before: func(f *fleet) { f.dests[0].limit = bucket{depth: 1, filled: f.now}; f.dests[0].factor = 1e-3 },
 			want: logic.Full, took: 7000, wait: 300_000, load: 2},
 		{name: "no place", before: func(f *fleet) { f.sc.Destinations.Connections, f.eps[0].conns = 1, 1 }, want: logic.Full, took: 6000},
-		{name: "killed under it", during: func(f *fleet) { f.begin(f.dests[0], downRefused, logic.Second) }, want: logic.Severed, took: 7000},
-		{name: "machine gone under it", during: func(f *fleet) { f.vanish([]*machine{f.eps[0].machine}, 30*logic.Second) }, want: logic.Recalled, took: -1},
+		{name: "killed under it", during: func(f *fleet) { f.startOutage(f.dests[0], downRefused, logic.Second) }, want: logic.Severed, took: 7000},
+		{name: "machine gone under it", during: func(f *fleet) { f.failMachines([]*machine{f.eps[0].machine}, 30*logic.Second) }, want: logic.Recalled, took: -1},
 	} {
 		f, s := one(t)
 		if x.kept {
@@ -155,7 +155,7 @@
 			x.before(f)
 		}
 		if x.how != "" {
-			f.begin(f.dests[0], x.how, 60*logic.Second)
+			f.startOutage(f.dests[0], x.how, 60*logic.Second)
 		}
 		during := func() {}
 		if x.during != nil {
