--- a/internal/hollow/call.go
+++ b/internal/hollow/call.go
@@ -17,6 +17,7 @@
 	conn    *conn
 	written bool // its last byte is on the way
 	over    bool // for the sender
+	into    bool // made while the destination was down
 }
 
 // call makes an attempt.
@@ -47,6 +48,7 @@
 		return
 	}
 	s.f.rec.IntoOutages++
+	c.into = o == c.ep.dest.down
 	n := s.noticed[o]
 	if n == nil {
 		n = &noting{out: o, from: s.f.now}
@@ -135,8 +137,11 @@
 		c.answer(logic.Severed, 0, nil)
 	case d.down != nil:
 		c.answer(logic.Full, 0, nil)
-	case d.arrives(f.now):
+	case d.arrives(f.now, c.s.number):
 		f.rec.Falls++
+		if d.blamed() {
+			f.rec.Blamed++
+		}
 		f.startOutage(d, downRefused, f.sc.Cold.FallFor.Micros)
 		c.answer(logic.Severed, 0, nil)
 	case !d.admits(f.now):
@@ -188,6 +193,9 @@
 	}
 	c.over = true
 	f, s, m := c.s.f, c.s, c.m
+	if c.into && o != logic.Completed && o != logic.Moot {
+		c.ep.dest.told[s.number] = true
+	}
 	s.flying = slices.DeleteFunc(s.flying, func(x *call) bool { return x == c })
 	m.call = nil
 	if o != logic.Full && o != logic.RefusedConn && o != logic.Moot {
--- a/internal/hollow/destination.go
+++ b/internal/hollow/destination.go
@@ -53,9 +53,10 @@
 	usedAt logic.Micros
 
 	down   *outage
-	until  logic.Micros   // when it ends
-	backAt logic.Micros   // end of the last one; -1 if there was none
-	lately []logic.Micros // calls since then, of one window
+	until  logic.Micros // when it ends
+	backAt logic.Micros // end of the last one; -1 if there was none
+	lately []arrival    // calls since then, of one window
+	told   map[int]bool // senders that had an outcome of the last outage
 	worst  coldWindow
 }
 
@@ -93,16 +94,22 @@
 	return r
 }
 
-// arrives counts a call that has come in and says whether a cold destination falls of it.
-func (d *destination) arrives(now logic.Micros) (falls bool) {
+// arrival is a call that has come in at a cold destination.
+type arrival struct {
+	at   logic.Micros
+	told bool // its sender had been told of the outage
+}
+
+// arrives counts a call of a sender that has come in and says whether a cold destination falls of it.
+func (d *destination) arrives(now logic.Micros, sender int) (falls bool) {
 	if !d.isCold(now) {
 		return false
 	}
 	i := 0
-	for i < len(d.lately) && d.lately[i] <= now-d.cold.FallWindow.Micros {
+	for i < len(d.lately) && d.lately[i].at <= now-d.cold.FallWindow.Micros {
 		i++
 	}
-	d.lately = append(d.lately[i:], now)
+	d.lately = append(d.lately[i:], arrival{now, d.told[sender]})
 	n := d.cold.FallMultiple * d.rate(now) * float64(d.cold.FallWindow.Micros) / float64(logic.Second)
 	w := coldWindow{d.id, len(d.lately), fallBound(n)}
 	if w.part() > d.worst.part() {
@@ -111,6 +118,17 @@
 	return float64(w.Calls) > w.Allowed
 }
 
+// blamed says whether over two thirds of the calls in the window came from senders that had been told.
+func (d *destination) blamed() bool {
+	n := 0
+	for _, a := range d.lately {
+		if a.told {
+			n++
+		}
+	}
+	return 3*n > 2*len(d.lately)
+}
+
 // admits says whether the limit lets a call in.
 func (d *destination) admits(now logic.Micros) bool {
 	d.fade(now)
--- a/internal/hollow/faults.go
+++ b/internal/hollow/faults.go
@@ -129,7 +129,7 @@
 	}
 	f.traceEvent(traceDown, d.id, int(lasts), 0)
 	f.rec.Outages++
-	d.down = &outage{how: how, from: f.now}
+	d.down, d.told = &outage{how: how, from: f.now}, map[int]bool{}
 	f.rec.window(d.worst)
 	d.worst = coldWindow{}
 	if how == downRefused {
--- a/internal/hollow/report.go
+++ b/internal/hollow/report.go
@@ -33,6 +33,7 @@
 	Connections int64 `json:"connections"`  // opened
 	Outages     int64 `json:"outages"`      // of destinations, falls counted
 	Falls       int64 `json:"falls"`        // of cold destinations
+	Blamed      int64 `json:"blamed"`       // falls of which over two thirds came from senders that had an outcome of the outage
 	Unnoticed   int64 `json:"unnoticed"`    // outages times senders that sent into them and never took an endpoint out
 	Restarts    int64 `json:"restarts"`     // of processes
 	Losses      int64 `json:"losses"`       // of senders' machines
@@ -240,7 +241,7 @@
 	line("latency", "p50 %.1f ms, p90 %.1f ms, p99 %.1f ms, max %.1f ms", r.Latency.P50, r.Latency.P90, r.Latency.P99, r.Latency.Max)
 	line("calls", "%d, %d over a limit, %d with no place, %d into outages; %d connections, %d repeats", r.Calls, r.OverLimit, r.NoPlace,
 		r.IntoOutages, r.Connections, r.Repeats)
-	line("outages", "%d, of them %d falls", r.Outages, r.Falls)
+	line("outages", "%d, of them %d falls, %d of senders that were told", r.Outages, r.Falls, r.Blamed)
 	line("notice", "mean %.3f s, worst %.3f s, over %d; %d never noticed", r.Notice.Mean, r.Notice.Worst, r.Notice.Count, r.Unnoticed)
 	line("cold return", "worst window %d calls, %.1f allowed", r.Cold.Calls, r.Cold.Allowed)
 	line("senders", "%d restarts, %d machines lost", r.Restarts, r.Losses)
--- a/internal/hollow/standin_test.go
+++ b/internal/hollow/standin_test.go
@@ -29,7 +29,7 @@
 	sc.Destinations.Rate = 40
 	sc.Cold = ColdPart{From: 0.25, WarmAfter: seconds(10), FallMultiple: 1.25, FallWindow: seconds(2), FallFor: seconds(5)}
 	d := newDestination(0, &sc)
-	d.backAt = micros(100)
+	d.backAt, d.told = micros(100), map[int]bool{1: true}
 	return d
 }
 
@@ -52,11 +52,11 @@
 	}
 	d := coldOne()
 	for i := range 37 {
-		if d.arrives(micros(100)) {
+		if d.arrives(micros(100), 0) {
 			t.Fatalf("falls of call %d", i+1)
 		}
 	}
-	if !d.arrives(micros(100)) {
+	if !d.arrives(micros(100), 0) {
 		t.Error("does not fall of call 38")
 	}
 	if d.worst.Calls != 38 || d.worst.Allowed != 37 {
@@ -65,18 +65,30 @@
 	// Two seconds on, those of the return are out of the window. It is allowed 1.25 x 16 x 2 = 40 then, 54.6 with chance.
 	d = coldOne()
 	for range 37 {
-		d.arrives(micros(100))
+		d.arrives(micros(100), 0)
 	}
 	for i := range 54 {
-		if d.arrives(micros(102)) {
+		if d.arrives(micros(102), 0) {
 			t.Fatalf("falls of call %d in the second window", i+1)
 		}
 	}
-	if !d.arrives(micros(102)) {
+	if !d.arrives(micros(102), 0) {
 		t.Error("does not fall of call 55 in the second window")
 	}
+	// Of ten calls six, then seven, of senders that were told: over two thirds with the seventh.
+	d = coldOne()
+	for i := range 10 {
+		d.arrives(micros(100), min(i/4, 1))
+	}
+	if d.blamed() {
+		t.Error("blamed with six of ten")
+	}
+	d.lately[0].told = true
+	if !d.blamed() {
+		t.Error("not blamed with seven of ten")
+	}
 	for range 1000 { // warm
-		if d.arrives(micros(110)) {
+		if d.arrives(micros(110), 0) {
 			t.Fatal("a warm destination falls")
 		}
 	}
--- a/internal/hollow/sweep.go
+++ b/internal/hollow/sweep.go
@@ -28,6 +28,7 @@
 	{"cold_calls", func(r *Report) float64 { return float64(r.Cold.Calls) }},
 	{"cold_allowed", func(r *Report) float64 { return r.Cold.Allowed }},
 	{"falls", func(r *Report) float64 { return float64(r.Falls) }},
+	{"falls_blamed", func(r *Report) float64 { return float64(r.Blamed) }},
 	{"connections", func(r *Report) float64 { return float64(r.Connections) }},
 	{"list_bytes", func(r *Report) float64 { return float64(r.List.Whole) }},
 	{"list_bytes_per_s", func(r *Report) float64 { return r.ListRate }},
