Let a shut destination of the hollow fleet answer with a report

A 503 without one means that an endpoint has no place for a connection, and the module takes it so; docs/design.md has shut destinations among those that report.

--- a/internal/hollow/call.go
+++ b/internal/hollow/call.go
@@ -135,8 +135,8 @@
 	case c.ep.silent():
 	case c.conn.epoch != c.ep.epoch || c.ep.refuses():
 		c.answer(logic.Severed, 0, nil)
-	case d.down != nil:
-		c.answer(logic.Full, 0, nil)
+	case d.down != nil: // a refusal without a report would mean that there is no place for the connection
+		c.answer(logic.Full, 0, d.report(f.now))
 	case d.arrives(f.now, c.s.number):
 		f.rec.Falls++
 		if d.blamed() {
--- a/internal/hollow/doc.go
+++ b/internal/hollow/doc.go
@@ -31,7 +31,8 @@
 //     destination's endpoints; above it calls are answered 429 with a wait, or 503.
 //     A call that is let in takes a lognormal time, and there is no queue. One call
 //     carries one message. Reports tell the share of the limit that was left over
-//     the last second (x0) and the limit (x1), the latter as of a warm destination.
+//     the last second (x0) and the limit (x1), the latter as of a warm destination;
+//     all answers carry one but that of a full table of connections.
 //   - Outages: all endpoints of a destination refuse connections (calls under way
 //     are reset), fall silent, or answer 503. After each the destination is cold:
 //     its limit rises linearly from a part to the whole, and it falls again when
--- a/internal/hollow/standin_test.go
+++ b/internal/hollow/standin_test.go
@@ -147,8 +147,8 @@
 		{name: "served", want: logic.Completed, took: 47_000, load: 2}, // 1 + 5 ms of handshake, 1 ms, 40 ms
 		{name: "served, kept", kept: true, want: logic.Completed, took: 41_000, load: 2},
 		{name: "refused", how: downRefused, want: logic.RefusedConn, took: 1000},
-		{name: "503", how: downShut, want: logic.Full, took: 7000},
-		{name: "503, kept", how: downShut, kept: true, want: logic.Full, took: 1000},
+		{name: "503", how: downShut, want: logic.Full, took: 7000, load: 2},
+		{name: "503, kept", how: downShut, kept: true, want: logic.Full, took: 1000, load: 2},
 		{name: "silent", how: downSilent, want: logic.RefusedConn, took: 1500_000},
 		{name: "silent, kept", how: downSilent, kept: true, want: logic.Recalled, took: -1},
 		{name: "over the limit", before: func(f *fleet) { f.dests[0].limit = bucket{depth: 1, filled: f.now}; f.dests[0].factor = 1e-3 },
