--- a/internal/hollow/destination.go
+++ b/internal/hollow/destination.go
@@ -57,18 +57,18 @@
 	backAt logic.Micros // end of the last one; -1 if there was none
 	lately []arrival    // calls since then, of one window
 	told   map[int]bool // senders that had an outcome of the last outage
-	worst  coldWindow
+	worst  ColdWindow
 }
 
-// coldWindow is the window of a cold return with most calls for what it allows.
-type coldWindow struct {
+// ColdWindow is the window of a cold return with most calls for what it allows.
+type ColdWindow struct {
 	Dest    int     `json:"dest"`
 	Calls   int     `json:"calls"`
 	Allowed float64 `json:"allowed"` // N + 2√N + 2
 }
 
 // part is the share of the allowed calls that came.
-func (w coldWindow) part() float64 {
+func (w ColdWindow) part() float64 {
 	if w.Allowed == 0 {
 		return 0
 	}
@@ -111,7 +111,7 @@
 	}
 	d.lately = append(d.lately[i:], arrival{now, d.told[sender]})
 	n := d.cold.FallMultiple * d.rate(now) * float64(d.cold.FallWindow.Micros) / float64(logic.Second)
-	w := coldWindow{d.id, len(d.lately), fallBound(n)}
+	w := ColdWindow{d.id, len(d.lately), fallBound(n)}
 	if w.part() > d.worst.part() {
 		d.worst = w
 	}
--- a/internal/hollow/discovery.go
+++ b/internal/hollow/discovery.go
@@ -64,14 +64,14 @@
 	return x
 }
 
-// listBytes counts the bytes of discovery's answers.
-type listBytes struct {
+// ListBytes counts the bytes of discovery's answers.
+type ListBytes struct {
 	Whole   int64 `json:"whole"`
 	Changes int64 `json:"changes"`
 	Empty   int64 `json:"empty"` // of watches that ended with nothing
 }
 
-func (b listBytes) total() int64 { return b.Whole + b.Changes + b.Empty }
+func (b ListBytes) total() int64 { return b.Whole + b.Changes + b.Empty }
 
 // discovery holds the list and tells it to the agents.
 type discovery struct {
@@ -232,7 +232,7 @@
 
 // inForceFigures are the longest time from a change to its being in force, and how many changes are not yet in force
 // everywhere.
-func (d *discovery) inForceFigures() (x inForce) {
+func (d *discovery) inForceFigures() (x InForce) {
 	sum := 0.0
 	for g := 2; g < len(d.at); g++ {
 		x.Changes++
--- a/internal/hollow/faults.go
+++ b/internal/hollow/faults.go
@@ -131,7 +131,7 @@
 	f.rec.Outages++
 	d.down, d.told = &outage{how: how, from: f.now}, map[int]bool{}
 	f.rec.window(d.worst)
-	d.worst = coldWindow{}
+	d.worst = ColdWindow{}
 	if how == downRefused {
 		for _, e := range d.eps {
 			f.reset(e)
--- a/internal/hollow/report.go
+++ b/internal/hollow/report.go
@@ -40,32 +40,32 @@
 	Steps       int64 `json:"steps"`        // of modules
 }
 
-// quantiles are latencies of delivered events in milliseconds, from their birth to their end.
-type quantiles struct {
+// Quantiles are latencies of delivered events in milliseconds, from their birth to their end.
+type Quantiles struct {
 	P50 float64 `json:"p50"`
 	P90 float64 `json:"p90"`
 	P99 float64 `json:"p99"`
 	Max float64 `json:"max"`
 }
 
-// noticed is the time in seconds from a sender's first send into an outage to its having one of the endpoints sent to
+// Notice is the time in seconds from a sender's first send into an outage to its having one of the endpoints sent to
 // out, from when on it tries the destination singly.
-type noticed struct {
+type Notice struct {
 	Count int64   `json:"count"`
 	Mean  float64 `json:"mean_s"`
 	Worst float64 `json:"worst_s"`
 }
 
-// inForce is the time in seconds from a change at discovery until the last sender that is up acts on it.
-type inForce struct {
+// InForce is the time in seconds from a change at discovery until the last sender that is up acts on it.
+type InForce struct {
 	Changes int     `json:"changes"`
 	Open    int     `json:"open"` // not in force everywhere when the run ended
 	Mean    float64 `json:"mean_s"`
 	Worst   float64 `json:"worst_s"`
 }
 
-// sample is the state at one time.
-type sample struct {
+// Sample is the state at one time.
+type Sample struct {
 	At        Span  `json:"at"`
 	Offered   int64 `json:"offered"`
 	Delivered int64 `json:"delivered"`
@@ -107,16 +107,16 @@
 	Until        Span   `json:"until"` // virtual time that was played
 	Cut          bool   `json:"cut"`   // it ended before its time
 	Counts
-	Latency   quantiles  `json:"latency_ms"`
-	Notice    noticed    `json:"notice"`
-	Cold      coldWindow `json:"cold_worst_window"`
-	List      listBytes  `json:"list_bytes_per_sender"`
+	Latency   Quantiles  `json:"latency_ms"`
+	Notice    Notice     `json:"notice"`
+	Cold      ColdWindow `json:"cold_worst_window"`
+	List      ListBytes  `json:"list_bytes_per_sender"`
 	ListWorst int64      `json:"list_bytes_worst_sender"`
 	ListRate  float64    `json:"list_bytes_per_sender_second"` // without the whole list of the start
-	InForce   inForce    `json:"in_force"`
+	InForce   InForce    `json:"in_force"`
 	PeakHeld  int64      `json:"peak_held"`
 	PeakAt    Span       `json:"peak_at"`
-	Course    []sample   `json:"course"`
+	Course    []Sample   `json:"course"`
 	Digest    string     `json:"digest"` // of the trace of events
 	Machine   Machine    `json:"machine"`
 }
@@ -129,10 +129,10 @@
 	noticed int64
 	notices logic.Micros
 	longest logic.Micros
-	cold    coldWindow
+	cold    ColdWindow
 	peak    int64
 	peakAt  logic.Micros
-	course  []sample
+	course  []Sample
 	heap    int64
 
 	steps, takes, starts stopwatch
@@ -166,7 +166,7 @@
 }
 
 // window takes the worst window of one cold return.
-func (r *record) window(w coldWindow) {
+func (r *record) window(w ColdWindow) {
 	if w.part() > r.cold.part() {
 		r.cold = w
 	}
@@ -174,7 +174,7 @@
 
 // sample notes the course of the run.
 func (f *fleet) sample() {
-	x := sample{At: Span{f.now}, Offered: f.rec.Offered, Delivered: f.rec.Delivered, Held: f.rec.open()}
+	x := Sample{At: Span{f.now}, Offered: f.rec.Offered, Delivered: f.rec.Delivered, Held: f.rec.open()}
 	for _, d := range f.dests {
 		if d.down != nil {
 			x.Down++
@@ -198,9 +198,9 @@
 		Cut: cut, Counts: r.Counts, Cold: r.cold, InForce: f.disc.inForceFigures(), PeakHeld: r.peak, PeakAt: Span{r.peakAt},
 		Course: r.course, Digest: fmt.Sprintf("%016x", f.digest.Sum64())}
 	ms := func(q float64) float64 { return float64(r.latency.ValueAtQuantile(q)) / 1e3 }
-	out.Latency = quantiles{ms(50), ms(90), ms(99), float64(r.latency.Max()) / 1e3}
+	out.Latency = Quantiles{ms(50), ms(90), ms(99), float64(r.latency.Max()) / 1e3}
 	if r.noticed > 0 {
-		out.Notice = noticed{r.noticed, float64(r.notices) / float64(r.noticed) / 1e6, float64(r.longest) / 1e6}
+		out.Notice = Notice{r.noticed, float64(r.notices) / float64(r.noticed) / 1e6, float64(r.longest) / 1e6}
 	}
 	n := int64(len(f.senders))
 	for _, s := range f.senders {
@@ -209,7 +209,7 @@
 		out.List.Empty += s.bytes.Empty
 		out.ListWorst = max(out.ListWorst, s.bytes.total())
 	}
-	out.List = listBytes{out.List.Whole / n, out.List.Changes / n, out.List.Empty / n}
+	out.List = ListBytes{out.List.Whole / n, out.List.Changes / n, out.List.Empty / n}
 	if f.now > 0 {
 		out.ListRate = float64(out.List.Changes+out.List.Empty) / (float64(f.now) / 1e6)
 	}
--- a/internal/hollow/sender.go
+++ b/internal/hollow/sender.go
@@ -62,7 +62,7 @@
 	held     map[string]*message // what the journal knows; ended ones while a call is out
 	agent    int64               // generation of the list that the agent has
 	inForce  int64               // and that the last process had
-	bytes    listBytes
+	bytes    ListBytes
 	life     int // counts processes
 	watchEnd logic.Micros
 
