Play a scenario with real processes on loopback, beside the hollow fleet

hollow live starts the real program so many times on loopback, with clients, endpoints and discovery on sockets that use the stand-ins of the simulation: the same token buckets, times and cold returns. It reports events, calls, connections, latencies, list bytes, processor time (/proc) and resident memory, beside those of the same scenario played hollow. Outages that answer 503 are the only fault it plays, and says so of others.

The test fails if an event is not delivered, one runs twice, a whole list is not asked for once, or a goroutine is left.

--- a/cmd/hollow/main.go
+++ b/cmd/hollow/main.go
@@ -30,6 +30,7 @@
 
 	Run   runCommand   `cmd:"" help:"Play a scenario and say what was measured."`
 	Sweep sweepCommand `cmd:"" help:"Play a scenario at several sizes."`
+	Live  liveCommand  `cmd:"" help:"Play a scenario with real processes on loopback and hollow, and compare."`
 	Check checkCommand `cmd:"" help:"Check a scenario without playing it."`
 	List  listCommand  `cmd:"" help:"List the scenarios."`
 }
@@ -111,6 +112,36 @@
 	return hollow.WriteSweep(env.out, axis, sizes, reports)
 }
 
+type liveCommand struct {
+	Scenario string  `arg:"" help:"Name of a scenario, or its file."`
+	Senders  int     `help:"Senders, instead of those of the scenario."`
+	Rate     float64 `help:"Events a second over the fleet, instead of that of the scenario."`
+	Program  string  `help:"The sender." default:"bin/cometrack" type:"path"`
+}
+
+func (c *liveCommand) Run(env *environment) error {
+	sc, err := env.load(c.Scenario)
+	if err != nil {
+		return err
+	}
+	if c.Senders != 0 {
+		sc.Fleet.Senders = c.Senders
+	}
+	if c.Rate != 0 {
+		sc.Traffic.Rate = c.Rate
+	}
+	fmt.Fprintf(env.errors, "real time: about %s\n", sc.Length())
+	real, err := hollow.Live(env.ctx, sc, c.Program)
+	if err != nil {
+		return err
+	}
+	model, err := env.play(sc)
+	if err != nil {
+		return err
+	}
+	return hollow.Compare(env.out, real, model)
+}
+
 type checkCommand struct {
 	Scenario string `arg:"" help:"Name of a scenario, or its file."`
 }
--- /dev/null
+++ b/internal/hollow/live_test.go
@@ -0,0 +1,66 @@
+package hollow
+
+import (
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"testing"
+
+	"go.uber.org/goleak"
+)
+
+// buildSender builds the real program.
+func buildSender(t *testing.T) string {
+	t.Helper()
+	path := filepath.Join(t.TempDir(), "cometrack")
+	cmd := exec.Command("go", "build", "-o", path, "../../cmd/cometrack")
+	cmd.Stderr = os.Stderr
+	if err := cmd.Run(); err != nil {
+		t.Fatal(err)
+	}
+	return path
+}
+
+// Real processes and hollow senders do the same with the same events where nothing goes wrong.
+func TestLiveMatchesHollow(t *testing.T) {
+	defer goleak.VerifyNone(t)
+	sc := Default()
+	sc.Classes = []ClassPart{defaultClass}
+	sc.Duration, sc.Drain, sc.Fleet.Senders, sc.Traffic.Rate = seconds(3), seconds(2), 3, 100
+	real, err := Live(t.Context(), &sc, buildSender(t))
+	if err != nil {
+		t.Fatal(err)
+	}
+	model, err := Run(t.Context(), &sc, Options{})
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := Compare(t.Output(), real, model); err != nil {
+		t.Fatal(err)
+	}
+	if real.Offered == 0 || real.Delivered != real.Offered || real.Repeats != 0 {
+		t.Errorf("of %d events %d were delivered, %d twice", real.Offered, real.Delivered, real.Repeats)
+	}
+	// Each asks for the whole list once. Addresses differ in length by a few bytes for each of 20 endpoints.
+	if d := real.WholeBytes - model.List.Whole; d < -100 || d > 100 {
+		t.Errorf("whole list: %d bytes real, %d hollow", real.WholeBytes, model.List.Whole)
+	}
+}
+
+// What cannot be played live is refused before anything starts.
+func TestLiveRefuses(t *testing.T) {
+	for want, change := range map[string]func(*Scenario){
+		"fleet.senders":   func(sc *Scenario) { sc.Fleet.Senders = mostLive + 1 },
+		"destinations":    func(sc *Scenario) { sc.Destinations.Count = mostPorts },
+		"changes":         func(sc *Scenario) { sc.Discovery.Changes = 1 },
+		"fault[0]":        func(sc *Scenario) { sc.Faults = []FaultPart{{What: faultOutage, How: downSilent}} },
+		"no such program": func(*Scenario) {},
+	} {
+		sc := Default()
+		change(&sc)
+		if _, err := Live(t.Context(), &sc, "./no such program"); err == nil || !strings.Contains(err.Error(), want) {
+			t.Errorf("got %v, want %q", err, want)
+		}
+	}
+}
--- a/internal/hollow/report.go
+++ b/internal/hollow/report.go
@@ -197,8 +197,7 @@
 	out := &Report{Title: f.sc.Title, Seed: f.sc.Seed, Senders: len(f.senders), Destinations: len(f.dests), Until: Span{f.now},
 		Cut: cut, Counts: r.Counts, Cold: r.cold, InForce: f.disc.inForceFigures(), PeakHeld: r.peak, PeakAt: Span{r.peakAt},
 		Course: r.course, Digest: fmt.Sprintf("%016x", f.digest.Sum64())}
-	ms := func(q float64) float64 { return float64(r.latency.ValueAtQuantile(q)) / 1e3 }
-	out.Latency = Quantiles{ms(50), ms(90), ms(99), float64(r.latency.Max()) / 1e3}
+	out.Latency = quantilesOf(r.latency)
 	if r.noticed > 0 {
 		out.Notice = Notice{r.noticed, float64(r.notices) / float64(r.noticed) / 1e6, float64(r.longest) / 1e6}
 	}
@@ -218,6 +217,11 @@
 	return out
 }
 
+func quantilesOf(h *hdrhistogram.Histogram) Quantiles {
+	ms := func(q float64) float64 { return float64(h.ValueAtQuantile(q)) / 1e3 }
+	return Quantiles{ms(50), ms(90), ms(99), float64(h.Max()) / 1e3}
+}
+
 // cpuTime is the processor time that this process has used.
 func cpuTime() time.Duration {
 	var u syscall.Rusage
