Begin at once where there is nothing to wait for

Cause: a pause of no length set a timer of no length. In a bubble of testing/synctest with the race detector on, a receive from such a timer crashes the runtime (SIGSEGV in runtime.timer.maybeRunChan, or a failed check of the detector): 2 of 4 whole race runs of internal/node ended so, and 3 of 6 runs of the bubbles' tests alone, each played twice. Change: pause returns at once for a length of nought.

--- a/internal/node/loop.go
+++ b/internal/node/loop.go
@@ -514,6 +514,9 @@
 
 // pause waits for d or until ctx is over.
 func pause(ctx context.Context, d time.Duration) {
+	if d <= 0 {
+		return
+	}
 	t := time.NewTimer(d)
 	defer t.Stop()
 	select {
