Keep sight of waiting messages that rest for a known time

Where more than 128 wait for a destination, one that rested (after an error, or while its key does) fell out of those looked at first, and was found again only as its turn came: 57 and 65 calls went before it with 1,000 and 5,000 waiting. Up to 64 such are now kept in front beside those that may go, and do not make the destination look closed.

--- a/logic/logic.go
+++ b/logic/logic.go
@@ -270,11 +270,16 @@
 	s.file(q, s.holdsItself)
 }
 
-// holdsItself says whether m is held back by what says nothing of other messages for its destination.
-func (s *Sender) holdsItself(m *msg) bool {
+// holdsItself says whether m is held back by what says nothing of other messages for its destination, and
+// whether for a known time.
+func (s *Sender) holdsItself(m *msg) (held, timed bool) {
 	l, c := m.line, m.class
-	return s.now < m.rest || l != nil && (l.q[0] != m || s.now < l.quiet && l.by != m) ||
-		m.mayRun && c.ByZone || c.Effect == Unsafe && s.now < m.first+c.Aim
+	if l != nil && l.q[0] != m || m.mayRun && c.ByZone {
+		return true, false
+	}
+	timed = s.now < m.rest || l != nil && s.now < l.quiet && l.by != m ||
+		c.Effect == Unsafe && s.now < m.first+c.Aim
+	return timed, timed
 }
 
 // free is the number of slots that may be taken: of all, and by trials.
--- a/logic/queue.go
+++ b/logic/queue.go
@@ -69,6 +69,7 @@
 	soon    Micros  // the earliest time at which a message that was held back may go
 	left    int     // messages that were held back
 	best    float64 // the highest rate among them
+	ready   int     // in front, those that were not held back by themselves
 	scanned int     // messages in the samples since one could go for itself
 	scarce  [2]int  // place in Sender.scarce
 }
@@ -309,13 +310,13 @@
 
 // file notes what came of the look at q, which is in order: what is left in front, and when to look again. A
 // message that is held back by itself says nothing of the others.
-func (s *Sender) file(q []*msg, itself func(*msg) bool) {
+func (s *Sender) file(q []*msg, itself func(*msg) (held, timed bool)) {
 	x := &s.wait
 	if len(x.looking) == 0 {
 		return
 	}
 	for _, b := range x.looking {
-		b.left, b.front = 0, b.front[:0]
+		b.left, b.ready, b.front = 0, 0, b.front[:0]
 	}
 	for _, m := range q {
 		if m.place == 0 {
@@ -325,7 +326,11 @@
 		if b.left++; b.left == 1 {
 			b.best = m.prio
 		}
-		if len(b.front) < part && !itself(m) {
+		switch held, timed := itself(m); {
+		case !held && b.ready < part:
+			b.ready++
+			b.front = append(b.front, m)
+		case timed && len(b.front)-b.ready < part:
 			b.front = append(b.front, m)
 		}
 	}
@@ -336,7 +341,7 @@
 		}
 		b.scanned += part
 		switch {
-		case b.whole() || len(b.front) > 0 || b.left > 0 && b.scanned >= len(b.waiting):
+		case b.whole() || b.ready > 0 || b.left > 0 && b.scanned >= len(b.waiting):
 			b.again, b.scanned = b.soon, 0
 		case b.due || b.left == 0: // the others have not been asked
 			b.again = s.now
--- a/logic/scale_test.go
+++ b/logic/scale_test.go
@@ -209,6 +209,24 @@
 		if k := l.until(t, "new"); k > 0 {
 			t.Errorf("of %d: %d calls before that for the new message", n, k)
 		}
+		// One that rests meanwhile is not lost sight of.
+		l.s.dests[0].lane.until = l.now + 2*Second
+		l.now += l.s.set.Tick
+		l.evs = append(l.evs, Call{ID: "rests", Left: 36000*Second - 2*Second, Dest: 0, Tenant: -1, Class: 1})
+		l.s.Step(l.now, l.evs)
+		l.s.msgs["rests"].rest = l.now + Second
+		l.evs = nil
+		for range 3 {
+			l.now += l.s.set.Tick
+			l.evs = nil
+			l.call()
+			l.s.Step(l.now, l.evs)
+		}
+		l.evs = nil
+		l.now += 2 * Second
+		if k := l.until(t, "rests"); k > 3 { // those that came with it may be worth more
+			t.Errorf("of %d: %d calls before that for the one that has rested", n, k)
+		}
 		m := l.s.msgs["riser"]
 		m.first = l.now + Second/2 - m.class.Aim // its time comes in half a second
 		if k := l.until(t, "riser"); k > 50+n/part {
