Name outlier ejection, backoff and slow start of the module by their terms

Old names: suspect (field and method) is now ejected and eject, takeOut ejectCold, errorRest errorBackoff, placeRest placeBackoff, budget slowStart. No change of behaviour: the module's tests pass.

--- a/logic/budget_test.go
+++ b/logic/budget_test.go
@@ -35,11 +35,11 @@
 		r.s.now = sec(1)
 		r.s.succeeded(e, sec(0.9))
 		r.s.now = sec(20)
-		r.s.suspect(e, "silent")
+		r.s.eject(e, "silent")
 		r.s.now += sec(x.silent)
 		r.s.succeeded(e, r.s.now)
-		if e.suspect || e.cold != x.cold {
-			t.Errorf("silent for %v s: out %v, cold %v", x.silent, e.suspect, e.cold)
+		if e.ejected || e.cold != x.cold {
+			t.Errorf("silent for %v s: out %v, cold %v", x.silent, e.ejected, e.cold)
 		}
 	}
 }
--- a/logic/churn_test.go
+++ b/logic/churn_test.go
@@ -65,12 +65,12 @@
 	s.Step(0, []Event{Endpoints{Form: ListFull, Entries: []Entry{{Endpoint: 1, Dest: 1}}},
 		Call{ID: "a", Left: 10 * Second, Dest: 1, Tenant: -1}})
 	for i := range spoiltDown {
-		if s.eps[1].suspect {
+		if s.eps[1].ejected {
 			t.Fatalf("out after %d spoilt answers", i)
 		}
 		s.Step(Micros(i+1)*100_000, []Event{Reply{ID: "a", Attempt: i, Endpoint: 1, Outcome: Spoilt}})
 	}
-	if !s.eps[1].suspect {
+	if !s.eps[1].ejected {
 		t.Errorf("not out after %d spoilt answers in a row", spoiltDown)
 	}
 }
@@ -108,8 +108,8 @@
 					now -= 3 * Second
 				}
 			}
-			if e.suspect != x.out {
-				t.Errorf("out: %v, want %v", e.suspect, x.out)
+			if e.ejected != x.out {
+				t.Errorf("out: %v, want %v", e.ejected, x.out)
 			}
 		})
 	}
--- a/logic/logic.go
+++ b/logic/logic.go
@@ -35,34 +35,34 @@
 	leastUsed = 0.3        // ours: least part in use that a report is believed to tell: it is late and noisy
 	paceFree  = 4.0        // ours: a pace this many times what is sent sets nothing any more and is dropped
 
-	badAlpha    = 0.3          // ours: weight of the newest outcome in an endpoint's share of failures
-	badShare    = 0.45         // ours: failing more than this is an outage
-	shyMost     = 8 * Second   // ours: longest mean rest of a lane, among many senders
-	sendAgain   = 1.0          // ours: part of the traffic of an outage that comes again at one time
-	outage      = 5 * Second   // ours: how long an outage lasted, beside the time since we saw it
-	outageLeast = 2 * Second   // ours: an endpoint that answers again within this was not out, and is not cold
-	badUnsafe   = 0.2          // ours: unsafe messages keep away above this
-	fullsDown   = 4            // ours: refusals in a row that look like a shut destination ...
-	fullsSpan   = 1500_000     // ours: ... when they span this, more than a limit's window leaves empty
-	longWait    = 2 * Second   // ours: a told wait past this is a shut destination, not a limit's window
-	trialGap    = 400_000      // ours: first pause between single trials
-	trialMost   = 2 * Second   // ours: and the longest
-	keepGone    = 60 * Second  // ours: an endpoint off the list is remembered so long: it may come back
-	idleAge     = 4 * halfLife // ours: state of a destination without traffic is dropped after this
-	slowTimes   = 3.0          // ours: an endpoint this much slower than its best sibling is passed over
-	slowProbe   = 4 * Second   // ours: but tried again after this
-	reuse       = 5 * Second   // ours: an endpoint called less often than this shares its connections
-	turnAlpha   = 0.05         // ours: weight of the newest call in a kind's share of calls turned away
-	turnShy     = 0.01         // ours: share above which many senders keep no idle connection
-	dearConn    = 0.04         // ours: price of a connection with each message above which none is given back
-	manySenders = 16           // ours: more than this, one idle connection each, may fill an endpoint
-	resetsDown  = 3            // ours: connections that break in a row, no answer between, look like an outage
-	lately      = Second       // ours: one refused connection does not, if an answer came so shortly before
-	spoiltDown  = 4            // ours: spoilt answers in a row that look like an outage
-	errorRest   = 100_000      // ours: pause of a message after an error, doubled with each try
-	shortFor    = 60 * Second  // ours: many senders keep no idle connection so long after one found none
-	placeRest   = 50_000       // ours: mean pause of a message that found no connection, doubled with each try
-	placesDown  = 8            // ours: such refusals in a row, and no answer for fullsSpan, look like an outage
+	badAlpha     = 0.3          // ours: weight of the newest outcome in an endpoint's share of failures
+	badShare     = 0.45         // ours: failing more than this is an outage
+	shyMost      = 8 * Second   // ours: longest mean rest of a lane, among many senders
+	sendAgain    = 1.0          // ours: part of the traffic of an outage that comes again at one time
+	outage       = 5 * Second   // ours: how long an outage lasted, beside the time since we saw it
+	outageLeast  = 2 * Second   // ours: an endpoint that answers again within this was not out, and is not cold
+	badUnsafe    = 0.2          // ours: unsafe messages keep away above this
+	fullsDown    = 4            // ours: refusals in a row that look like a shut destination ...
+	fullsSpan    = 1500_000     // ours: ... when they span this, more than a limit's window leaves empty
+	longWait     = 2 * Second   // ours: a told wait past this is a shut destination, not a limit's window
+	trialGap     = 400_000      // ours: first pause between single trials
+	trialMost    = 2 * Second   // ours: and the longest
+	keepGone     = 60 * Second  // ours: an endpoint off the list is remembered so long: it may come back
+	idleAge      = 4 * halfLife // ours: state of a destination without traffic is dropped after this
+	slowTimes    = 3.0          // ours: an endpoint this much slower than its best sibling is passed over
+	slowProbe    = 4 * Second   // ours: but tried again after this
+	reuse        = 5 * Second   // ours: an endpoint called less often than this shares its connections
+	turnAlpha    = 0.05         // ours: weight of the newest call in a kind's share of calls turned away
+	turnShy      = 0.01         // ours: share above which many senders keep no idle connection
+	dearConn     = 0.04         // ours: price of a connection with each message above which none is given back
+	manySenders  = 16           // ours: more than this, one idle connection each, may fill an endpoint
+	resetsDown   = 3            // ours: connections that break in a row, no answer between, look like an outage
+	lately       = Second       // ours: one refused connection does not, if an answer came so shortly before
+	spoiltDown   = 4            // ours: spoilt answers in a row that look like an outage
+	errorBackoff = 100_000      // ours: pause of a message after an error, doubled with each try
+	shortFor     = 60 * Second  // ours: many senders keep no idle connection so long after one found none
+	placeBackoff = 50_000       // ours: mean pause of a message that found no connection, doubled with each try
+	placesDown   = 8            // ours: such refusals in a row, and no answer for fullsSpan, look like an outage
 
 	quotaHalf  = 5 * Second // ours: half-life of a tenant's rate
 	lossAhead  = Second     // ours: loss of worth within this sets who goes first
@@ -168,7 +168,7 @@
 		// A machine that joins a destination in trouble is as cold as the others: what topples it is shared.
 		for _, x := range d.eps {
 			if x.cold && e.lane == x.lane {
-				s.setStatus(e, e.state, x.suspect)
+				s.setStatus(e, e.state, x.ejected)
 				e.cold, e.backAt, e.trialAt, e.lastBad = true, x.backAt, x.trialAt, x.lastBad
 				e.downAt = x.downAt
 			}
@@ -180,7 +180,7 @@
 			d.next = s.rng.IntN(len(d.eps))
 		}
 	}
-	s.setStatus(e, row.State, e.suspect)
+	s.setStatus(e, row.State, e.ejected)
 	e.zone = row.Zone
 	if s.set.Weights != WeightsOff && row.Nominal > 0 && !e.lane.told {
 		e.lane.limit = row.Nominal
@@ -300,7 +300,7 @@
 	d := m.dest
 	best := math.Inf(1)
 	for _, e := range d.eps {
-		if e.slow > 0 && !e.suspect {
+		if e.slow > 0 && !e.ejected {
 			best = min(best, e.slow)
 		}
 	}
@@ -353,7 +353,7 @@
 		e.inflight++
 		s.mark(e)
 		e.lane.phase = s.rng.Float64()
-		if e.suspect {
+		if e.ejected {
 			s.backOff(e)
 		}
 	}
@@ -410,7 +410,7 @@
 	if at := s.health(m, e); at > s.now {
 		return false, at
 	}
-	if at := s.budget(e); at > s.now {
+	if at := s.slowStart(e); at > s.now {
 		return false, at
 	}
 	if at := s.paced(e.lane); at > s.now {
@@ -430,7 +430,7 @@
 
 // health holds messages back from an endpoint that seems out: single trials only, unsafe messages last.
 func (s *Sender) health(m *msg, e *endpoint) Micros {
-	if e.suspect {
+	if e.ejected {
 		switch {
 		case e.inflight > 0 || s.trials >= s.trialsMost():
 			return never
@@ -445,7 +445,7 @@
 	// Outages mostly take all endpoints: after one has failed, the others are tried singly until they answer.
 	if e.inflight > 0 && e.lane == e.dest.lane {
 		for _, x := range e.dest.eps {
-			if x.suspect && x.lastBad > e.lastOK && !s.mayBeGone(x) {
+			if x.ejected && x.lastBad > e.lastOK && !s.mayBeGone(x) {
 				return never
 			}
 		}
@@ -457,13 +457,13 @@
 // still that of the start, which may be old. That says nothing of its siblings.
 func (s *Sender) mayBeGone(x *endpoint) bool { return s.now < s.unsure && x.lastOK == longAgo }
 
-// budget keeps what goes to a destination after an outage under this sender's share of what topples it. The
-// endpoints of a lane that are cold share one budget: the lane falls over as a whole.
-func (s *Sender) budget(e *endpoint) Micros {
-	if e.cold && !e.suspect && s.now >= e.backAt+s.set.WarmAfter {
+// slowStart keeps what goes to a destination after an outage under this sender's share of what topples it.
+// The endpoints of a lane that are cold share one budget: the lane falls over as a whole.
+func (s *Sender) slowStart(e *endpoint) Micros {
+	if e.cold && !e.ejected && s.now >= e.backAt+s.set.WarmAfter {
 		e.cold = false
 	}
-	if e.suspect && s.now < e.downAt+outageLeast {
+	if e.ejected && s.now < e.downAt+outageLeast {
 		return 0 // a trial so soon cannot meet the return from an outage
 	}
 	if !e.cold && !slices.ContainsFunc(e.dest.eps, func(x *endpoint) bool {
@@ -485,7 +485,7 @@
 		if (x.cold || x == e) && x.lane == e.lane {
 			cold++
 			last = append(last, x.sent[len(x.sent)-since(x.sent, from):]...)
-			if x.suspect {
+			if x.ejected {
 				up = min(up, 0)
 			} else if x.cold {
 				t, w := seconds(s.now-x.backAt), seconds(long)
@@ -718,7 +718,7 @@
 		if !a.stuck && e.lastOK < a.at {
 			if a.stuck = age > stuck; a.stuck {
 				// No outcome yet, so nothing is known to have failed: hold back, but set no budget.
-				s.suspect(e, "silent")
+				s.eject(e, "silent")
 			}
 		}
 		if !a.late && age > patience*stuck {
@@ -742,7 +742,7 @@
 			continue
 		}
 		long := stuck << a.m.cuts
-		if a.stuck && e.suspect && (age > patience*long || age > long && s.elsewhere(e)) {
+		if a.stuck && e.ejected && (age > patience*long || age > long && s.elsewhere(e)) {
 			a.m.cuts = min(a.m.cuts+1, maxCuts)
 			s.cancel(a)
 			continue
@@ -837,7 +837,7 @@
 		}
 	case Full:
 		if crowded {
-			m.rest = s.now + Micros((0.5+s.rng.Float64())*float64(Micros(placeRest)<<min(m.tries-1, 5)))
+			m.rest = s.now + Micros((0.5+s.rng.Float64())*float64(Micros(placeBackoff)<<min(m.tries-1, 5)))
 			if lastOfCall {
 				s.noPlace(e)
 			}
@@ -856,9 +856,9 @@
 			s.failed(e, "silent")
 		}
 	case Severed:
-		m.rest = s.now + errorRest
+		m.rest = s.now + errorBackoff
 	case Errored:
-		m.rest = s.now + errorRest<<min(m.tries, 5)
+		m.rest = s.now + errorBackoff<<min(m.tries, 5)
 	}
 	if lastOfCall { // a batch is one call: one sign
 		s.sign(e, r.Outcome)
@@ -907,7 +907,7 @@
 	case Severed:
 		// A connection that breaks may be at fault itself: one that was kept too long, a box in between. An
 		// endpoint that is down breaks all, and takes no new ones.
-		if e.resets++; e.resets >= resetsDown || e.suspect {
+		if e.resets++; e.resets >= resetsDown || e.ejected {
 			s.failed(e, "resets")
 		}
 	case Errored:
@@ -918,10 +918,10 @@
 // succeeded notes an answer to what was sent at a time. One sent before the last failure tells nothing of a
 // return: else a call that was under way when a destination shut would end the watch before it opens.
 func (s *Sender) succeeded(e *endpoint, sent Micros) {
-	if e.suspect && sent < e.lastBad {
+	if e.ejected && sent < e.lastBad {
 		return
 	}
-	if e.suspect { // one that was silent for long comes back as cold as one that was seen to fail
+	if e.ejected { // one that was silent for long comes back as cold as one that was seen to fail
 		s.log("endpoint %d answers again", e.id)
 		s.setStatus(e, e.state, false)
 		e.backAt, e.trialGap = s.now, 0
@@ -929,7 +929,7 @@
 	}
 	// An answer while a sibling is out shows that e is well; one after its return may be of the return itself.
 	if !slices.ContainsFunc(e.dest.eps, func(x *endpoint) bool {
-		return x.cold && !x.suspect && x.lane == e.lane && x.lastBad > e.well
+		return x.cold && !x.ejected && x.lane == e.lane && x.lastBad > e.well
 	}) {
 		e.well = max(e.well, sent)
 	}
@@ -944,7 +944,7 @@
 	e.lastBad = s.now
 	e.bad += badAlpha * (1 - e.bad)
 	if e.fails >= 2 || e.bad > badShare || how != "errors" {
-		s.takeOut(e, how)
+		s.ejectCold(e, how)
 	}
 }
 
@@ -957,10 +957,10 @@
 	if l.fulls++; l.fulls == 1 {
 		l.firstFull = s.now
 	}
-	if e.suspect || wait > longWait || (l.fulls >= fullsDown || s.many && l.fulls > 1) &&
+	if e.ejected || wait > longWait || (l.fulls >= fullsDown || s.many && l.fulls > 1) &&
 		s.now-l.firstFull > fullsSpan {
 		e.lastBad = s.now
-		s.takeOut(e, "refuses all")
+		s.ejectCold(e, "refuses all")
 	}
 }
 
@@ -976,23 +976,24 @@
 // noPlace notes a call for which e had no connection. It says nothing of a limit, and many in a row mean no
 // more than that others hold the places, unless nothing else has come from e for long.
 func (s *Sender) noPlace(e *endpoint) {
-	if e.fulls++; e.suspect || e.fulls >= placesDown && s.now-e.lastOK > fullsSpan {
+	if e.fulls++; e.ejected || e.fulls >= placesDown && s.now-e.lastOK > fullsSpan {
 		e.lastBad = s.now
-		s.takeOut(e, "has no connection")
+		s.ejectCold(e, "has no connection")
 	}
 }
 
-// takeOut takes an endpoint for out: from now on single trials, and after its return a budget.
-func (s *Sender) takeOut(e *endpoint, how string) {
-	s.suspect(e, how)
+// ejectCold ejects an endpoint that has failed: after its return there is a budget.
+func (s *Sender) ejectCold(e *endpoint, how string) {
+	s.eject(e, how)
 	if !e.cold {
 		e.cold, e.downAt = true, e.lastOK
 		e.dest.came, e.dest.downAt = 1, s.now
 	}
 }
 
-func (s *Sender) suspect(e *endpoint, how string) {
-	if !e.suspect {
+// eject takes an endpoint out of rotation (outlier ejection): from now on single trials.
+func (s *Sender) eject(e *endpoint, how string) {
+	if !e.ejected {
 		s.log("endpoint %d out: %s", e.id, how)
 		s.setStatus(e, e.state, true)
 		e.trialGap, e.trialAt = trialGap, s.now+trialGap
--- a/logic/mechanism_test.go
+++ b/logic/mechanism_test.go
@@ -321,7 +321,7 @@
 	shut.Wait = sec(8)
 	r.step(1.2, shut)
 	r.step(1.3, answer(a.ID, a.Endpoint, 0, Completed))
-	if e := r.s.eps[1]; !e.suspect || !e.cold {
+	if e := r.s.eps[1]; !e.ejected || !e.cold {
 		t.Error("an answer to an older call ended the watch on a shut endpoint")
 	}
 }
@@ -333,7 +333,7 @@
 	c := only[CallOut](r.step(1, r.call(0)))[0]
 	r.step(1.1, answer(c.ID, c.Endpoint, 0, RefusedConn))
 	r.step(2, Endpoints{Form: ListDelta, Entries: []Entry{{Endpoint: 2, Dest: 9}}})
-	if e := r.s.eps[2]; !e.cold || !e.suspect {
+	if e := r.s.eps[2]; !e.cold || !e.ejected {
 		t.Error("the new endpoint has no budget")
 	}
 }
@@ -350,14 +350,14 @@
 			r.s.succeeded(r.s.eps[2], r.s.now)
 		}
 	}
-	if e.suspect {
+	if e.ejected {
 		t.Error("refusals between answers took the endpoint out")
 	}
 	for i := range 5 {
 		r.s.now = sec(10 + 0.5*float64(i))
 		r.s.full(e, 0)
 	}
-	if !e.suspect {
+	if !e.ejected {
 		t.Error("a destination that refuses everything without a wait was not noticed")
 	}
 }
@@ -852,11 +852,11 @@
 				r.step(at, answer(c.ID, 1, r.s.msgs[c.ID].tries-1, Full))
 			}
 			out = only[CallOut](r.step(at+0.01, Due{}))
-			if at < 1.9 && r.s.eps[1].suspect {
+			if at < 1.9 && r.s.eps[1].ejected {
 				t.Fatalf("out at %.2f s, soon after an answer", at)
 			}
 		}
-		if !r.s.eps[1].suspect {
+		if !r.s.eps[1].ejected {
 			t.Error("not out after seconds of nothing but refusals")
 		}
 	}
--- a/logic/outage_test.go
+++ b/logic/outage_test.go
@@ -70,13 +70,13 @@
 			r.s.now = sec(1.1 + 0.1*float64(i))
 			r.s.sign(e, RefusedConn)
 		}
-		if !e.suspect || !e.cold {
+		if !e.ejected || !e.cold {
 			t.Fatalf("%s: not out after %d failures", x.name, x.failures)
 		}
 		r.s.now = sec(1 + x.back)
 		r.s.succeeded(e, r.s.now)
-		if e.suspect || e.cold != x.cold {
-			t.Errorf("%s: out %v, cold %v", x.name, e.suspect, e.cold)
+		if e.ejected || e.cold != x.cold {
+			t.Errorf("%s: out %v, cold %v", x.name, e.ejected, e.cold)
 		}
 	}
 }
@@ -100,7 +100,7 @@
 			ends = append(ends, answer(c.ID, c.Endpoint, 0, o))
 		}
 		r.step(1.3, ends...)
-		if r.s.eps[1].suspect {
+		if r.s.eps[1].ejected {
 			t.Errorf("outcome %d of one batch took the endpoint out", o)
 		}
 	}
--- a/logic/rig_test.go
+++ b/logic/rig_test.go
@@ -389,7 +389,7 @@
 	n := 0
 	for _, d := range s.order {
 		for _, e := range d.eps {
-			if e.suspect || e.state != Ready {
+			if e.ejected || e.state != Ready {
 				n++
 			}
 		}
--- a/logic/scale_test.go
+++ b/logic/scale_test.go
@@ -367,7 +367,7 @@
 	lacking := 0
 	for _, b := range l.s.wait.looks.items {
 		e := b.dest.eps[0]
-		if b.again < never || !e.suspect || e.inflight > 0 {
+		if b.again < never || !e.ejected || e.inflight > 0 {
 			continue
 		}
 		if lacking++; b.scarce == [2]int{} {
--- a/logic/size_test.go
+++ b/logic/size_test.go
@@ -47,7 +47,7 @@
 	var took []time.Duration
 	for _, n := range destSizes {
 		s := listed(t, n)
-		s.suspect(s.eps[1], "silent")
+		s.eject(s.eps[1], "silent")
 		took = append(took, least(20, func(int) {
 			for range 1000 {
 				if got := s.OutOfRotation(); got != 1 {
--- a/logic/snapshot.go
+++ b/logic/snapshot.go
@@ -252,7 +252,7 @@
 	}
 	for _, e := range eps.list {
 		y := endpointState{e.id, s.eps[e.id] == e, e.zone, e.state, places[e.dest], nil, e.sent, e.bad, e.fails, e.fulls,
-			e.spoilt, e.resets, e.goneAt, e.lastOK, e.lastBad, e.well, e.suspect, e.cold, e.backAt, e.downAt, e.trialAt,
+			e.spoilt, e.resets, e.goneAt, e.lastOK, e.lastBad, e.well, e.ejected, e.cold, e.backAt, e.downAt, e.trialAt,
 			e.trialGap, e.inflight, e.slow, e.lastSent, e.warm}
 		if e.lane != e.dest.lane {
 			own := e.lane.save()
--- a/logic/state.go
+++ b/logic/state.go
@@ -56,7 +56,7 @@
 	goneAt            Micros
 	lastOK, lastBad   Micros
 	well              Micros // last answer that shows it to be well for itself
-	suspect           bool   // out, as far as we know
+	ejected           bool   // out, as far as we know
 	cold              bool   // was out; budgeted until backAt+WarmAfter
 	backAt            Micros
 	downAt            Micros // last answer before it was taken out, or when it began to look silent
@@ -201,7 +201,7 @@
 	if e.state != Gone {
 		s.gone = append(s.gone, e)
 	}
-	s.setStatus(e, Gone, e.suspect)
+	s.setStatus(e, Gone, e.ejected)
 	e.goneAt = s.now
 	s.touch(e.dest)
 	e.dest.eps = slices.DeleteFunc(e.dest.eps, func(x *endpoint) bool { return x == e })
@@ -378,7 +378,7 @@
 		m.firstMay, m.mayZone = s.now, e.zone
 	}
 	s.flying = append(s.flying, a)
-	if e.suspect {
+	if e.ejected {
 		s.trials++
 	}
 	s.dequeue(m)
@@ -388,7 +388,7 @@
 // onTrial is the number of slots that calls to endpoints that seem out hold.
 func (s *Sender) onTrial() (n int) {
 	for _, a := range s.flying {
-		if a.ep.suspect {
+		if a.ep.ejected {
 			n++
 		}
 	}
@@ -454,16 +454,16 @@
 
 // outOfRotation says whether an endpoint is listed and gets no ordinary traffic.
 func (e *endpoint) outOfRotation() bool {
-	return e.state == Draining || e.state == Ready && e.suspect
+	return e.state == Draining || e.state == Ready && e.ejected
 }
 
 // setStatus is the one place where the state of an endpoint changes, or whether it seems out, so that the
 // count is right.
-func (s *Sender) setStatus(e *endpoint, state Readiness, suspect bool) {
+func (s *Sender) setStatus(e *endpoint, state Readiness, ejected bool) {
 	if e.outOfRotation() {
 		s.outOfRotation--
 	}
-	e.state, e.suspect = state, suspect
+	e.state, e.ejected = state, ejected
 	if e.outOfRotation() {
 		s.outOfRotation++
 	}
@@ -472,7 +472,7 @@
 // Out says whether an endpoint is taken for out: single trials only go there.
 func (s *Sender) Out(id EndpointID) bool {
 	e := s.eps[id]
-	return e != nil && e.suspect
+	return e != nil && e.ejected
 }
 
 // crowd is the share of the hold that is taken.
@@ -493,7 +493,7 @@
 // elsewhere says whether a sibling of e seems well.
 func (s *Sender) elsewhere(e *endpoint) bool {
 	for _, x := range e.dest.eps {
-		if x != e && !x.suspect && x.state == Ready {
+		if x != e && !x.ejected && x.state == Ready {
 			return true
 		}
 	}
