--- a/internal/hollow/live.go
+++ b/internal/hollow/live.go
@@ -553,7 +553,8 @@
 	}
 }
 
-// do sends a command over an idle connection or a new one, and reads one line.
+// do sends a command over an idle connection or a new one, and reads one line. A sender may close a connection between
+// requests: what crosses that is sent once more, on a new one ("Clients to senders").
 func (s *liveSender) do(text string) (string, error) {
 	s.mu.Lock()
 	var c *liveConn
@@ -562,15 +563,21 @@
 		s.idle = s.idle[:n-1]
 	}
 	s.mu.Unlock()
-	if c == nil {
-		conn, err := net.DialTimeout("tcp", s.listen, liveAnswer)
-		if err != nil {
-			return "", err
+	if c != nil {
+		if line, err := s.ask(c, text); err == nil || errors.Is(err, os.ErrDeadlineExceeded) {
+			return line, err
 		}
-		c = &liveConn{conn, bufio.NewReader(conn)}
 	}
-	line, err := "", c.SetDeadline(time.Now().Add(liveAnswer))
-	if err == nil {
+	conn, err := net.DialTimeout("tcp", s.listen, liveAnswer)
+	if err != nil {
+		return "", err
+	}
+	return s.ask(&liveConn{conn, bufio.NewReader(conn)}, text)
+}
+
+// ask sends a command and keeps the connection if the answer comes in time.
+func (s *liveSender) ask(c *liveConn, text string) (line string, err error) {
+	if err = c.SetDeadline(time.Now().Add(liveAnswer)); err == nil {
 		if _, err = io.WriteString(c, text); err == nil {
 			line, err = c.r.ReadString('\n')
 		}
