Take confirmed notices off the queue without copying the rest

Cause: confirmed copied the whole queue, lines and ids, for each body that the platform had answered. Change: the two slices move on, and what is off is cleared; their array goes with the next one that append makes.

--- a/internal/node/notices.go
+++ b/internal/node/notices.go
@@ -9,6 +9,7 @@
 	"log/slog"
 	"net"
 	"net/http"
+	"slices"
 	"sync"
 	"time"
 )
@@ -148,7 +149,9 @@
 func (q *notices) confirmed(n int) []string {
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	ids := append([]string(nil), q.ids[:n]...)
-	q.queue, q.ids = append([][]byte(nil), q.queue[n:]...), append([]string(nil), q.ids[n:]...)
+	ids := slices.Clone(q.ids[:n])
+	clear(q.queue[:n]) // the array stays until the next one is made; what it holds does not
+	clear(q.ids[:n])
+	q.queue, q.ids = q.queue[n:], q.ids[n:]
 	return ids
 }
--- a/internal/node/scale_test.go
+++ b/internal/node/scale_test.go
@@ -461,6 +461,26 @@
 	}
 }
 
+// What the platform has confirmed is taken off the queue at the same cost however long that is, and nothing else is.
+func TestNoticesScale(t *testing.T) {
+	for _, size := range []int{1000, 5000, 20000, 80000} {
+		q := newNotices("", slog.New(slog.DiscardHandler), nil)
+		for i := range size {
+			q.add(Notice{ID: fmt.Sprintf("%016x", i), State: "failed"})
+		}
+		var ids []string
+		each := allocated(func() { ids = q.confirmed(10) })
+		if len(ids) != 10 || ids[9] != fmt.Sprintf("%016x", 9) || len(q.ids) != size-10 || len(q.queue) != size-10 ||
+			q.ids[0] != fmt.Sprintf("%016x", 10) || !strings.Contains(string(q.queue[0]), q.ids[0]) {
+			t.Errorf("%d notices: confirmed %v, left %d and %d from %q on", size, ids, len(q.ids), len(q.queue), q.ids[0])
+		}
+		t.Logf("%d notices: %d bytes allocated to take 10 off", size, each)
+		if each > 4096 {
+			t.Errorf("%d notices: %d bytes allocated", size, each)
+		}
+	}
+}
+
 // Notices that wait for the platform: what each takes, and what it costs to confirm a body of them.
 func BenchmarkNotices(b *testing.B) {
 	for _, size := range []int{1000, 5000, 20000, 80000} {
