Show by tests that clock steps, read errors and trouble at a start lose messages

Wall clock stepped an hour forward over a restart: all 7 held messages returned with no call; back: ended late. EIO on reads for 1.2 s at a start: 7 of 7 lost. ENOSPC, EIO, EINTR on the lock, ENOBUFS, EADDRINUSE, ENFILE for 1.5 s: the process ends within 10 ms.

--- a/cmd/soak/main.go
+++ b/cmd/soak/main.go
@@ -137,13 +137,33 @@
 	res, err := soak.Play(ctx, sc, soak.Options{Program: o.Program, Dir: dir})
 	if res != nil && len(res.Violations) > 0 && o.Keep != "" {
 		kept := filepath.Join(o.Keep, fmt.Sprint(seed))
-		if copyErr := errors.Join(os.RemoveAll(kept), os.CopyFS(kept, os.DirFS(dir))); copyErr != nil {
-			err = errors.Join(err, copyErr)
-		}
+		err = errors.Join(err, keepLogs(dir, kept))
 	}
 	return res, errors.Join(err, os.RemoveAll(dir))
 }
 
+// keepLogs copies the logs of all senders.
+func keepLogs(from, to string) error {
+	logs, err := filepath.Glob(filepath.Join(from, "*", "log"))
+	if err != nil {
+		return err
+	}
+	for _, log := range logs {
+		text, err := os.ReadFile(log)
+		if err != nil {
+			return err
+		}
+		dir := filepath.Join(to, filepath.Base(filepath.Dir(log)))
+		if err := os.MkdirAll(dir, 0o700); err != nil {
+			return err
+		}
+		if err := os.WriteFile(filepath.Join(dir, "log"), text, 0o600); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
 func add(total *soak.Counts, c soak.Counts) {
 	total.Offered += c.Offered
 	total.TakenOn += c.TakenOn
--- /dev/null
+++ b/internal/node/faults_test.go
@@ -0,0 +1,196 @@
+package node
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"path/filepath"
+	"strings"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"ravenmount/internal/faultinject"
+)
+
+// faultyProgram is the program with fault injection, built once for all tests.
+var faultyProgram = sync.OnceValues(func() (string, error) {
+	dir, err := os.MkdirTemp("", "faulty")
+	if err != nil {
+		return "", err
+	}
+	path := filepath.Join(dir, "cometrack")
+	return path, faultinject.Build(context.Background(), "../..", "./cmd/cometrack", path)
+})
+
+// startFaulty starts the program with a plan and waits until operators can ask it, if it gets that far.
+func startFaulty(t *testing.T, p *platform, dir string, text []byte, plan faultinject.Plan) *process {
+	t.Helper()
+	path, err := faultyProgram()
+	if err != nil {
+		t.Fatal(err)
+	}
+	plan.StateDir = dir
+	file := filepath.Join(t.TempDir(), "plan")
+	if err := plan.Save(file); err != nil {
+		t.Fatal(err)
+	}
+	return execProgram(t, path, p, dir, text, faultinject.EnvPlan+"="+file)
+}
+
+// faultsFor makes calls on the state folder fail from now on for a while.
+func faultsFor(span time.Duration, errno syscall.Errno, calls ...string) (faults []faultinject.Fault) {
+	now := faultinject.Now()
+	for _, call := range calls {
+		faults = append(faults, faultinject.Fault{Call: call, On: faultinject.StateFiles, Errno: errno, From: now, To: now + span, Chance: 1})
+	}
+	return faults
+}
+
+// takeOn has a sender take on messages that it holds back, since its only endpoint has told it to wait.
+func takeOn(t *testing.T, x *process, e *endpoint, ms, many int) (ids map[string]bool) {
+	t.Helper()
+	c := dial(t, x.addr)
+	c.putFor("first", "safe", ms, "+OK")
+	await(t, e.calls, "call").reply(429, "X-Come-Back-Ms: 60000")
+	ids = map[string]bool{"first": true}
+	for i := range many {
+		id := fmt.Sprint("held-", i)
+		c.putFor(id, []string{"safe", "unsafe"}[i%2], ms, "+OK")
+		ids[id] = true
+	}
+	return ids
+}
+
+// delivers checks that calls with all of ids come, and nothing else does.
+func delivers(t *testing.T, p *platform, e *endpoint, ids map[string]bool) {
+	t.Helper()
+	for left := len(ids); left > 0; left-- {
+		select {
+		case in := <-e.calls:
+			if !ids[in.id()] {
+				t.Fatalf("call with %s", in.id())
+			}
+			in.reply(200)
+		case n := <-p.notices:
+			t.Fatalf("%d messages are left, and %s is %s", left, n.ID, n.State)
+		case <-time.After(patience):
+			t.Fatalf("%d messages are neither sent nor ended", left)
+		}
+	}
+}
+
+// Deadlines are spans of real time: a wall clock that is stepped while no process runs changes nothing for what was
+// taken on. Seen before: stepped forward all of it was given up with no call, stepped back some was never ended.
+func TestWallClockStepsOverARestart(t *testing.T) {
+	for _, offset := range []time.Duration{time.Hour, -time.Hour} {
+		t.Run(offset.String(), func(t *testing.T) {
+			t.Parallel()
+			p, e, dir := newPlatform(t), newEndpoint(t), t.TempDir()
+			known := List{Generation: 1, Reset: true, Instances: instances(e)}
+			p.list = known
+			x := startProcess(t, p, dir, known)
+			ids := takeOn(t, x, e, 16000, 6)
+			x.kill()
+			step := faultinject.Plan{Steps: []faultinject.Step{{At: faultinject.Now(), Offset: offset}}}
+			x = startFaulty(t, p, dir, configText(p, known), step)
+			x.addr = await(t, x.ready, "ready program")
+			delivers(t, p, e, ids)
+			x.kill()
+			e.none(t)
+			// What has no endpoint ends in its time.
+			step.Steps[0].Offset = -offset
+			at := time.Now()
+			p.set(func() {
+				p.list = List{Generation: 2, Instances: append(instances(e), Instance{ID: "drains", HostPort: "127.0.0.1:1", Zone: "a",
+					Kind: "std", Dest: 2, Lifecycle: "draining"})}
+			})
+			x = startFaulty(t, p, dir, configText(p, p.list), step)
+			x.addr = await(t, x.ready, "ready program")
+			if got := dial(t, x.addr).do("MSG.PUT", "0", "short", "c=unsafe,d=2500,dest=2", "x"); got != "+OK" {
+				t.Fatalf("got %q", got)
+			}
+			x.kill()
+			step.Steps[0].Offset = 0
+			x = startFaulty(t, p, dir, configText(p, p.list), step)
+			await(t, x.ready, "ready program")
+			n := await(t, p.notices, "notice")
+			for n.ID != "short" { // a kill just behind an answer leaves open whether what may not be repeated has run
+				n = await(t, p.notices, "notice")
+			}
+			if took := time.Since(at); took > 4*time.Second {
+				t.Errorf("ended after %v", took)
+			}
+			x.kill()
+		})
+	}
+}
+
+// A read that fails for a moment is no torn end: what stands behind it is owed all the same.
+func TestReadErrorAtAStartLosesNothing(t *testing.T) {
+	p, e, dir := newPlatform(t), newEndpoint(t), t.TempDir()
+	known := List{Generation: 1, Reset: true, Instances: instances(e)}
+	p.list = known
+	x := startProcess(t, p, dir, known)
+	ids := takeOn(t, x, e, 16000, 6)
+	x.kill()
+	x = startFaulty(t, p, dir, configText(p, known), faultinject.Plan{Faults: faultsFor(1200*time.Millisecond, syscall.EIO, "read", "pread")})
+	x.addr = await(t, x.ready, "ready program")
+	delivers(t, p, e, ids)
+	x.kill()
+	e.none(t)
+}
+
+// What fails for a moment at a start keeps it from being ready for so long, and does not end the process.
+func TestStartOutlivesTrouble(t *testing.T) {
+	const span = 1500 * time.Millisecond
+	for name, make := range map[string]func() []faultinject.Fault{
+		"folder full":        func() []faultinject.Fault { return faultsFor(span, syscall.ENOSPC, "open", "pwrite", "truncate") },
+		"folder fails":       func() []faultinject.Fault { return faultsFor(span, syscall.EIO, "open", "unlink", "truncate") },
+		"truncation fails":   func() []faultinject.Fault { return faultsFor(span, syscall.EIO, "truncate") },
+		"lock interrupted":   func() []faultinject.Fault { return faultsFor(span, syscall.EINTR, "lock") },
+		"no socket":          func() []faultinject.Fault { return anywhere(span, syscall.ENOBUFS, "socket") },
+		"address in use":     func() []faultinject.Fault { return anywhere(span, syscall.EADDRINUSE, "bind") },
+		"no descriptor left": func() []faultinject.Fault { return anywhere(span, syscall.ENFILE, "open", "socket") },
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			p, e, dir := newPlatform(t), newEndpoint(t), t.TempDir()
+			known := List{Generation: 1, Reset: true, Instances: instances(e)}
+			p.list = known
+			x := startProcess(t, p, dir, known)
+			ids := takeOn(t, x, e, 16000, 2)
+			x.kill()
+			begun := time.Now()
+			x = startFaulty(t, p, dir, configText(p, known), faultinject.Plan{Faults: make()})
+			select {
+			case x.addr = <-x.ready:
+			case err := <-x.done:
+				t.Fatalf("ended with %v after %v", err, time.Since(begun))
+			case <-time.After(span + 3*time.Second):
+				t.Fatal("not ready after the trouble")
+			}
+			delivers(t, p, e, ids)
+			x.kill()
+		})
+	}
+}
+
+// anywhere makes calls fail from now on for a while, whatever they are about.
+func anywhere(span time.Duration, errno syscall.Errno, calls ...string) []faultinject.Fault {
+	faults := faultsFor(span, errno, calls...)
+	for i := range faults {
+		faults[i].On = faultinject.Anything
+	}
+	return faults
+}
+
+// said joins what a process has logged so far.
+func (x *process) logged() string {
+	var b strings.Builder
+	for line := range x.lines() {
+		b.WriteString(line + "\n")
+	}
+	return b.String()
+}
--- a/internal/node/process_test.go
+++ b/internal/node/process_test.go
@@ -32,6 +32,9 @@
 	if path, err := program(); err == nil {
 		os.RemoveAll(filepath.Dir(path))
 	}
+	if path, err := faultyProgram(); err == nil {
+		os.RemoveAll(filepath.Dir(path))
+	}
 	os.Exit(code)
 }
 
@@ -72,12 +75,18 @@
 	if err != nil {
 		t.Fatal(err)
 	}
+	return execProgram(t, path, p, dir, text)
+}
+
+// execProgram starts a build of the program, with more in its environment.
+func execProgram(t *testing.T, path string, p *platform, dir string, text []byte, env ...string) *process {
+	t.Helper()
 	config := filepath.Join(t.TempDir(), "config.json")
 	if err := os.WriteFile(config, text, 0o600); err != nil {
 		t.Fatal(err)
 	}
 	cmd := exec.Command(path)
-	cmd.Env = append(os.Environ(), "BALANCER_NAME=n0", "BALANCER_LISTEN=127.0.0.1:0", "BALANCER_ADMIN_ADDR=127.0.0.1:0",
+	cmd.Env = append(append(os.Environ(), env...), "BALANCER_NAME=n0", "BALANCER_LISTEN=127.0.0.1:0", "BALANCER_ADMIN_ADDR=127.0.0.1:0",
 		"BALANCER_DISCOVERY="+strings.TrimPrefix(p.srv.URL, "http://"), "BALANCER_STATE="+dir, "BALANCER_CONFIG="+config)
 	logs, err := cmd.StderrPipe()
 	if err != nil {
--- a/internal/soak/agent.go
+++ b/internal/soak/agent.go
@@ -109,9 +109,7 @@
 	active  int
 	mode    Kind // DiscoveryDown, DiscoverySlow or empty
 	changed chan struct{}
-	heard   int           // changes of registry that count as told
-	upSince time.Duration // when it could last be reached again, or was moved
-	down    bool
+	upSince time.Duration // when it could last be reached again, or the process was started
 }
 
 func newAgent(sender int, l *Ledger, r *registry) (*agent, error) {
@@ -137,15 +135,15 @@
 }
 
 // move opens the other address; close ends the one left behind.
-func (a *agent) move() (addr string, closeOld func(), err error) {
+func (a *agent) move() (closeOld func(), err error) {
 	a.mu.Lock()
 	old := a.active
 	srv := a.servers[old]
 	a.mu.Unlock()
 	if err := a.open(1 - old); err != nil {
-		return "", nil, err
+		return nil, err
 	}
-	return a.address(), func() { srv.Close() }, nil
+	return func() { srv.Close() }, nil
 }
 
 func (a *agent) address() string {
--- a/internal/soak/ledger.go
+++ b/internal/soak/ledger.go
@@ -328,6 +328,7 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	clear(l.waits[sender])
+	clear(l.told[sender]) // the next process is told anew
 	now := l.now()
 	for _, m := range l.messages {
 		if m.sender == sender && m.answer == takenOn && m.over == 0 && m.notice == "" && len(m.attempts) == 0 &&
--- a/internal/soak/process.go
+++ b/internal/soak/process.go
@@ -241,6 +241,7 @@
 		s.run.fail(err)
 		return
 	}
+	s.agent.reached(s.run.ledger.now())
 	s.mu.Lock()
 	s.cmd = p
 	s.mu.Unlock()
@@ -279,12 +280,11 @@
 func (s *sender) reload() {
 	s.serving.Lock()
 	defer s.serving.Unlock()
-	addr, closeOld, err := s.agent.move()
+	closeOld, err := s.agent.move()
 	if err != nil {
 		s.run.fail(err)
 		return
 	}
-	_ = addr
 	if err := s.writeConfig(); err != nil {
 		s.run.fail(err)
 		return
