--- a/internal/node/answer_test.go
+++ b/internal/node/answer_test.go
@@ -325,7 +325,7 @@
 			t.Fatal(err)
 		}
 		later := NewDirectory(n.cfg)
-		later.restore(st)
+		later.restore(st, n.clock)
 		for who, d := range map[string]*Directory{"this process": n.dir, "the next": later} {
 			if d.listed() != len(on) {
 				t.Fatalf("list %d: %s has %d endpoints, want %d", i, who, d.listed(), len(on))
--- a/internal/node/clients.go
+++ b/internal/node/clients.go
@@ -7,6 +7,8 @@
 	"sync"
 	"syscall"
 	"time"
+
+	"ravenmount/internal/clock"
 )
 
 const (
@@ -30,8 +32,9 @@
 	cfg      *Config
 	log      *slog.Logger
 	events   chan<- any
-	most     int           // connections
-	large    chan struct{} // a place for each large request that is not answered
+	clock    *clock.Lasting // set before clients are served
+	most     int            // connections
+	large    chan struct{}  // a place for each large request that is not answered
 	mu       sync.Mutex
 	sessions map[*session]struct{}
 	phase    phase
@@ -48,8 +51,8 @@
 		memory = defaultMemory
 	}
 	c := &clients{cfg: cfg, log: log, events: events, most: shareOut(cfg).clients, sessions: map[*session]struct{}{},
-		accepted: make(chan struct{}),
-		large:    make(chan struct{}, max(int(memory*(1<<20)/largeShare/largeRequest), 8))}
+		clock: clock.New(), accepted: make(chan struct{}),
+		large: make(chan struct{}, max(int(memory*(1<<20)/largeShare/largeRequest), 8))}
 	c.part = time.AfterFunc(time.Hour, c.startParting)
 	c.part.Stop()
 	return c
--- a/internal/node/handover.go
+++ b/internal/node/handover.go
@@ -4,10 +4,12 @@
 	"context"
 	"errors"
 	"fmt"
+	"maps"
 	"net"
 	"sync/atomic"
 	"time"
 
+	"ravenmount/internal/clock"
 	"ravenmount/logic"
 )
 
@@ -30,9 +32,9 @@
 type handover struct {
 	Module    []byte // the decisions
 	Now       logic.Micros
-	Wall      int64 // Unix microseconds at Now
+	Wall      int64 // the lasting clock at Now, microseconds
 	Held      []heldState
-	Recent    map[string]int64 // Unix microseconds
+	Recent    map[string]int64 // on the lasting clock
 	Last      logic.EndpointID
 	Targets   []targetState
 	Discovery string
@@ -46,7 +48,7 @@
 	Message Message // without its body, which stands in the journal
 	Tries   int
 	Over    bool
-	Came    int64 // Unix microseconds
+	Came    int64 // on the lasting clock
 	Trail   string
 	Call    *remoteCall // the attempt that is out
 }
@@ -56,7 +58,7 @@
 	Name, Addr string
 	Zone, Kind int
 	Dest       int64
-	Gone       int64 // Unix microseconds; 0 while it is listed
+	Gone       int64 // on the lasting clock; 0 while it is listed
 }
 
 // remoteCall is an attempt that the old process has out.
@@ -192,12 +194,11 @@
 // adopt goes on with what the old process has told. The journal is the measure: where the two do not fit, nothing is
 // changed and the error says so.
 func (n *Node) adopt(st *handover) error {
-	now := time.Now()
-	all, recent := map[string]*held{}, map[string]time.Time{}
+	all := map[string]*held{}
 	open := 0
 	for i := range st.Held {
 		x := &st.Held[i]
-		h := &held{msg: &x.Message, tries: x.Tries, over: x.Over, trail: trail{time.UnixMicro(x.Came), []byte(x.Trail)}}
+		h := &held{msg: &x.Message, tries: x.Tries, over: x.Over, trail: trail{n.clock.At(x.Came), []byte(x.Trail)}}
 		if !x.Over {
 			e := n.journal.Entry(x.Message.ID)
 			if e == nil || e.End != nil {
@@ -217,18 +218,16 @@
 			return fmt.Errorf("message %s was not handed over", e.ID)
 		}
 	}
-	for id, at := range st.Recent {
-		recent[id] = time.UnixMicro(at)
-	}
 	for _, h := range all {
 		if h.call != nil {
 			n.before.out[h.call.id] = h.call
 			n.goesOut(h, h.call, n.before.stop(h.call))
 		}
 	}
-	n.held, n.recent, n.open = all, recent, open
-	n.dir.restore(st)
-	n.start = now.Add(-span(st.Now) - now.Sub(time.UnixMicro(st.Wall)))
+	n.held, n.open = all, open
+	maps.Copy(n.recent, st.Recent)
+	n.dir.restore(st, n.clock)
+	n.start = n.clock.At(st.Wall).Add(-span(st.Now))
 	for _, e := range n.journal.Entries() {
 		if e.End != nil {
 			n.notices.add(*e.End)
@@ -447,7 +446,7 @@
 // handoverState collects what the journal does not hold.
 func (n *Node) handoverState() (*handover, error) {
 	now := time.Now()
-	st := &handover{Now: micros(now.Sub(n.start)), Wall: now.UnixMicro(), Recent: map[string]int64{}, Last: n.dir.last,
+	st := &handover{Now: micros(now.Sub(n.start)), Wall: n.clock.Of(now), Recent: maps.Clone(n.recent), Last: n.dir.last,
 		Discovery: n.disc.addr, Gen: n.disc.gen, Started: n.disc.started,
 		Heard: n.disc.heard, Watching: n.disc.watching}
 	var err error
@@ -455,7 +454,7 @@
 		return nil, err
 	}
 	for _, h := range n.held {
-		x := heldState{Message: *h.msg, Tries: h.tries, Over: h.over, Came: h.trail.came.UnixMicro(), Trail: string(h.trail.text)}
+		x := heldState{Message: *h.msg, Tries: h.tries, Over: h.over, Came: n.clock.Of(h.trail.came), Trail: string(h.trail.text)}
 		x.Message.Body = nil
 		if h.call != nil {
 			c := callState(h.call)
@@ -463,13 +462,10 @@
 		}
 		st.Held = append(st.Held, x)
 	}
-	for id, at := range n.recent {
-		st.Recent[id] = at.UnixMicro()
-	}
 	for id, to := range n.dir.eps {
 		x := targetState{ID: id, Name: to.name, Addr: to.addr, Zone: to.zone, Kind: to.kind, Dest: to.dest}
 		if at, ok := n.dir.gone[id]; ok {
-			x.Gone = at.UnixMicro()
+			x.Gone = n.clock.Of(at)
 		}
 		st.Targets = append(st.Targets, x)
 	}
@@ -477,12 +473,12 @@
 }
 
 // restore brings the directory back.
-func (d *Directory) restore(st *handover) {
+func (d *Directory) restore(st *handover, clock *clock.Lasting) {
 	d.last = st.Last
 	for _, x := range st.Targets {
 		to := target{name: x.Name, addr: x.Addr, zone: x.Zone, kind: x.Kind, dest: x.Dest}
 		if x.Gone != 0 {
-			d.gone[x.ID] = time.UnixMicro(x.Gone)
+			d.gone[x.ID] = clock.At(x.Gone)
 		}
 		d.ids[x.Name], d.eps[x.ID] = x.ID, to
 		d.dests[x.Dest]++
--- a/internal/node/journal.go
+++ b/internal/node/journal.go
@@ -11,6 +11,8 @@
 	"os"
 	"path/filepath"
 	"slices"
+
+	"ravenmount/internal/clock"
 )
 
 // Message is a message as a client handed it in.
@@ -21,7 +23,7 @@
 	Class    string `json:"class"`
 	Tenant   string `json:"tenant,omitempty"`
 	Dest     int64  `json:"dest"`
-	Deadline int64  `json:"deadline"` // Unix time in microseconds
+	Deadline int64  `json:"deadline"` // on the journal's lasting clock, microseconds
 	Body     []byte `json:"body,omitempty"`
 }
 
@@ -39,7 +41,7 @@
 	Tries     int     `json:"tries,omitempty"`
 	Open      bool    `json:"open,omitempty"`      // the last attempt has no outcome
 	MayRun    bool    `json:"may_run,omitempty"`   // an earlier one may have run
-	FirstMay  int64   `json:"first_may,omitempty"` // when the first that may have run was sent, Unix microseconds
+	FirstMay  int64   `json:"first_may,omitempty"` // when the first that may have run was sent, on the lasting clock
 	FirstZone int     `json:"zone,omitempty"`      // zone of its endpoint
 	End       *Notice `json:"end,omitempty"`
 	seq       int
@@ -56,6 +58,7 @@
 	opDone                  // delivered, or over without our word
 	opEnd                   // ended by us; the notice is owed
 	opNoticed               // the notice is confirmed
+	opClock                 // what the times of all records count on
 )
 
 // record is one line of the journal.
@@ -67,6 +70,8 @@
 	Zone   int     `json:"zone,omitempty"`
 	MayRun bool    `json:"may_run,omitempty"`
 	Notice *Notice `json:"notice,omitempty"`
+
+	Clock *clock.Stamp `json:"clock,omitempty"`
 }
 
 const (
@@ -94,6 +99,10 @@
 	live    int64 // rough size of what a rewrite keeps
 	seq     int
 	entries map[string]*Entry
+	clock   *clock.Lasting
+	stamp   clock.Stamp
+	stamped bool  // a stamp was read
+	latest  int64 // the latest time on record
 	dirty   bool  // the file lacks something that entries has: rewrite before the next append
 	cut     int64 // bytes that could not be read at the start: a torn end, or damage and all behind it
 }
@@ -117,11 +126,25 @@
 		return nil, fmt.Errorf("journal: %w", err)
 	}
 	j.file = f
-	return j, nil
+	return j, j.startClock()
 }
 
 func (j *Journal) path(suffix string) string { return filepath.Join(j.dir, journalName+suffix) }
 
+// startClock goes on with the clock of the records, or begins one.
+func (j *Journal) startClock() error {
+	was := j.stamp
+	if j.stamped {
+		j.clock, j.stamp = clock.Resume(j.stamp, j.latest)
+	} else { // a journal of an older build: its times are Unix time
+		j.clock, j.stamp = clock.Begin()
+	}
+	if j.stamped && j.stamp == was {
+		return nil
+	}
+	return j.Append([]record{{Op: opClock, Clock: &j.stamp}})
+}
+
 // replay reads records up to the first that is not whole and cuts off the rest.
 func (j *Journal) replay(f *os.File) error {
 	r := bufio.NewReaderSize(f, 1<<16)
@@ -159,7 +182,14 @@
 
 // apply brings the entries up to date with a record.
 func (j *Journal) apply(rec record) {
-	if rec.Op == opAccept {
+	switch rec.Op {
+	case opClock:
+		if rec.Clock != nil {
+			j.stamp, j.stamped = *rec.Clock, true
+			j.latest = max(j.latest, rec.Clock.At)
+		}
+		return
+	case opAccept:
 		if rec.Entry == nil || j.entries[rec.Entry.ID] != nil {
 			return
 		}
@@ -168,6 +198,7 @@
 		e.seq, e.size = j.seq, len(e.Body)*4/3+512
 		j.live += int64(e.size)
 		j.entries[e.ID] = e
+		j.latest = max(j.latest, e.FirstMay)
 		return
 	}
 	e := j.entries[rec.ID]
@@ -176,6 +207,7 @@
 	}
 	switch rec.Op {
 	case opSend:
+		j.latest = max(j.latest, rec.At)
 		e.Tries++
 		e.Open = true
 		if !e.MayRun {
@@ -264,9 +296,11 @@
 // Compact rewrites the journal with what is still owed. The old file stands until
 // the new one is whole.
 func (j *Journal) Compact() error {
-	var b []byte
+	b, err := frame(nil, record{Op: opClock, Clock: &j.stamp})
+	if err != nil {
+		return err
+	}
 	for _, e := range j.Entries() {
-		var err error
 		if b, err = frame(b, record{Op: opAccept, Entry: e}); err != nil {
 			return err
 		}
--- a/internal/node/loop.go
+++ b/internal/node/loop.go
@@ -11,6 +11,7 @@
 	"sync/atomic"
 	"time"
 
+	"ravenmount/internal/clock"
 	"ravenmount/logic"
 )
 
@@ -87,16 +88,17 @@
 	start   time.Time
 	stages  stages
 	held    map[string]*held
-	open    int                  // of held, those not over
-	out     map[string]*held     // of held, those with an attempt out
-	recent  map[string]time.Time // ids that were taken on and are over, until their time is up
-	next    []logic.Event        // for the next step
-	closing time.Time            // when SIGTERM came; zero until then
-	before  *predecessor         // nil if there is none
-	after   *successor           // nil if there is none
+	open    int              // of held, those not over
+	out     map[string]*held // of held, those with an attempt out
+	recent  map[string]int64 // ids that were taken on and are over, until their time is up, on the lasting clock
+	next    []logic.Event    // for the next step
+	closing time.Time        // when SIGTERM came; zero until then
+	before  *predecessor     // nil if there is none
+	after   *successor       // nil if there is none
 	puts    []putEvent
 	records []record
 	calling []outgoing // calls of the step at hand
+	clock   *clock.Lasting
 }
 
 // New makes a sender. It replays the journal, unless another process owns that.
@@ -116,7 +118,7 @@
 	// The module asks for the list only where it must, and anywhere after a failed call.
 	n := &Node{cfg: cfg, log: log, lock: lock, follow: !set.OnRequest, sender: sender, dir: NewDirectory(cfg), figures: figures,
 		caller: newCaller(span(cfg.Deploy.ConnectTimeout), span(set.ConnIdle), set.Slots, shareOut(cfg), &figures.relayed),
-		events: make(chan any, eventRoom), ready: make(chan net.Addr, 1), start: time.Now(), stages: spent, due: time.NewTimer(time.Hour), held: map[string]*held{}, out: map[string]*held{}, recent: map[string]time.Time{}}
+		events: make(chan any, eventRoom), ready: make(chan net.Addr, 1), start: time.Now(), stages: spent, due: time.NewTimer(time.Hour), held: map[string]*held{}, out: map[string]*held{}, recent: map[string]int64{}, clock: clock.New()}
 	n.caller.copies = cfg.Deploy.SecondCopies
 	n.disc = newDiscovery(cfg.Discovery, set.Senders, log, n.events)
 	n.disc.pushed = !set.OnRequest
@@ -142,6 +144,9 @@
 	if err == nil && n.journal.cut > 0 {
 		n.log.Warn("journal: the end cannot be read and is left out", "bytes", n.journal.cut, "kept", len(n.journal.entries))
 	}
+	if err == nil {
+		n.clock, n.clients.clock = n.journal.clock, n.journal.clock
+	}
 	n.stages.done("journal")
 	return err
 }
@@ -337,7 +342,7 @@
 		n.disc.gen, n.disc.started = n.cfg.Known.Generation, true
 		n.next = append(n.next, logic.Endpoints{Form: logic.ListCached, Entries: n.dir.Take(n.cfg.Known, time.Now())})
 	}
-	now := time.Now().UnixMicro()
+	now := n.clock.Now()
 	for _, e := range n.journal.Entries() {
 		if e.End != nil {
 			n.notices.add(*e.End)
@@ -416,7 +421,7 @@
 	n.held[id] = &held{msg: &m, trail: trail{came: time.Now()}}
 	n.open++
 	n.puts = append(n.puts, ev)
-	n.next = append(n.next, n.callOf(&m, time.Now().UnixMicro()))
+	n.next = append(n.next, n.callOf(&m, n.clock.Now()))
 }
 
 // door is the answer to a message that is not let in; empty for one that is.
@@ -576,7 +581,7 @@
 func (n *Node) finish(id string, h *held) {
 	h.over = true
 	n.open--
-	n.recent[id] = time.UnixMicro(h.msg.Deadline)
+	n.recent[id] = h.msg.Deadline
 	if h.stop == nil {
 		delete(n.held, id)
 	}
@@ -584,9 +589,9 @@
 
 // forget drops ids that nobody can hand in any more.
 func (n *Node) forget() {
-	now := time.Now()
-	for id, t := range n.recent {
-		if now.After(t) {
+	now := n.clock.Now()
+	for id, until := range n.recent {
+		if now > until {
 			delete(n.recent, id)
 		}
 	}
@@ -604,7 +609,7 @@
 			n.records = append(n.records, record{Op: opAccept, Entry: &Entry{Message: m}})
 		}
 	}
-	now := time.Now().UnixMicro()
+	now := n.clock.Now()
 	for _, a := range actions {
 		switch a := a.(type) {
 		case logic.CallOut:
@@ -748,7 +753,7 @@
 	c := n.cfg.Deploy.Settings.Classes[n.cfg.Classes[h.msg.Class]]
 	in.fragile = c.Effect == logic.Unsafe
 	if e := n.journal.Entry(a.ID); e != nil && e.MayRun && c.Effect == logic.Keyed { // a repeat: by the end of the window it must be written
-		in.writeBy = time.UnixMicro(e.FirstMay).Add(span(c.Window))
+		in.writeBy = n.clock.At(e.FirstMay).Add(span(c.Window))
 	}
 	ctx, stop := context.WithCancel(work)
 	n.goesOut(h, in, stop)
--- a/internal/node/put.go
+++ b/internal/node/put.go
@@ -15,8 +15,8 @@
 	maxIDLen  = 128
 )
 
-// parsePut reads the arguments of MSG.PUT.
-func (c *clients) parsePut(args [][]byte, now time.Time) (Message, error) {
+// parsePut reads the arguments of MSG.PUT, which came at a time on the lasting clock.
+func (c *clients) parsePut(args [][]byte, now int64) (Message, error) {
 	var m Message
 	if len(args) != 4 {
 		return m, errors.New("MSG.PUT wants a key, an id, a list of names and values, and a body")
@@ -58,7 +58,7 @@
 				return m, errors.New("bad time")
 			}
 			hold = time.Duration(ms) * time.Millisecond
-			m.Deadline = now.Add(hold).UnixMicro()
+			m.Deadline = now + hold.Microseconds()
 		case "dest":
 			n, err := strconv.ParseInt(value, 10, 64)
 			if err != nil || n < 0 {
--- a/internal/node/session.go
+++ b/internal/node/session.go
@@ -246,7 +246,7 @@
 		}
 		return answer{line: "-ERR PING takes one short argument at most\r\n"}
 	case "MSG.PUT":
-		msg, err := c.parsePut(args[1:], time.Now())
+		msg, err := c.parsePut(args[1:], c.clock.Now())
 		if err != nil {
 			return answer{line: "-ERR " + err.Error() + "\r\n"}
 		}
