--- a/internal/node/faults_test.go
+++ b/internal/node/faults_test.go
@@ -39,9 +39,15 @@
 	return execProgram(t, path, p, dir, text, faultinject.EnvPlan+"="+file)
 }
 
+// planTime is the time that plans count from: now, and the program is built.
+func planTime() time.Duration {
+	faultyProgram() // startFaulty tells of its error
+	return faultinject.Now()
+}
+
 // faultsFor makes calls on the state folder fail from now on for a while.
 func faultsFor(span time.Duration, errno syscall.Errno, calls ...string) (faults []faultinject.Fault) {
-	now := faultinject.Now()
+	now := planTime()
 	for _, call := range calls {
 		faults = append(faults, faultinject.Fault{Call: call, On: faultinject.StateFiles, Errno: errno, From: now, To: now + span, Chance: 1})
 	}
@@ -93,7 +99,7 @@
 			x := startProcess(t, p, dir, known)
 			ids := takeOn(t, x, e, 16000, 6)
 			x.kill()
-			step := faultinject.Plan{Steps: []faultinject.Step{{At: faultinject.Now(), Offset: offset}}}
+			step := faultinject.Plan{Steps: []faultinject.Step{{At: planTime(), Offset: offset}}}
 			x = startFaulty(t, p, dir, configText(p, known), step)
 			x.addr = await(t, x.ready, "ready program")
 			delivers(t, p, e, ids)
@@ -194,3 +200,35 @@
 	}
 	return b.String()
 }
+
+// A write that fails says nothing of the next one: appends go on as soon as they work, though files can't be made yet.
+func TestAppendsGoOnAfterAFailure(t *testing.T) {
+	p, e, dir := newPlatform(t), newEndpoint(t), t.TempDir()
+	known := List{Generation: 1, Reset: true, Instances: instances(e)}
+	p.list = known
+	now := planTime()
+	later := now + 500*time.Millisecond
+	var faults []faultinject.Fault
+	for _, call := range []string{"open", "rename"} {
+		faults = append(faults, faultinject.Fault{Call: call, On: faultinject.StateFiles, Errno: syscall.EIO, From: later, To: now + time.Minute, Chance: 1})
+	}
+	faults = append(faults, faultinject.Fault{Call: "pwrite", On: faultinject.StateFiles, Errno: syscall.ENOSPC, From: later, To: now + 1500*time.Millisecond, Chance: 1})
+	x := startFaulty(t, p, dir, configText(p, known), faultinject.Plan{Faults: faults})
+	x.addr = await(t, x.ready, "ready program")
+	c := dial(t, x.addr)
+	go func() {
+		for in := range e.calls {
+			in.reply(200)
+		}
+	}()
+	for i := 0; c.do("MSG.PUT", "0", fmt.Sprint("early-", i), "c=safe,d=9000,dest=1", "x") == "+OK"; i++ {
+		time.Sleep(10 * time.Millisecond)
+	}
+	for faultinject.Now() < now+1800*time.Millisecond {
+		time.Sleep(10 * time.Millisecond)
+	}
+	for i := range 5 {
+		c.put(fmt.Sprint("later-", i), "safe", "+OK")
+	}
+	x.kill()
+}
