Take a call that fails for a moment for just that: at a start, in reads and in appends

Causes: replay took a read error for a torn end and cut there; a start ended on any error of folder, lock, socket or address; one failed append made all later ones wait for a rewrite of the whole file (dirty).

A start tries again what fails for a moment, says why once and then how often, and serves what is owed meanwhile; a lock that another process owns, and what fails for good, stay as they were. A message whose record may stand in the file uncut is answered as failed, not refused.

--- a/cmd/cometrack/main.go
+++ b/cmd/cometrack/main.go
@@ -27,8 +27,15 @@
 func run(log *slog.Logger, hup <-chan os.Signal) error {
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
 	defer stop()
-	cfg, err := node.LoadConfig()
-	if err != nil {
+	var cfg *node.Config
+	err := node.Persist(ctx, log, "configuration", func() (err error) {
+		cfg, err = node.LoadConfig()
+		return err
+	})
+	switch {
+	case ctx.Err() != nil: // told to end before it owned anything
+		return nil
+	case err != nil:
 		return err
 	}
 	if c := cfg.Limits.Cores; c > 0 {
--- a/internal/node/handover.go
+++ b/internal/node/handover.go
@@ -108,7 +108,7 @@
 	said := ""
 	for {
 		lock, err := tryLock(n.cfg.StateDir)
-		if err != nil {
+		if err != nil && !momentary(err) {
 			return nil, err
 		}
 		if lock != nil {
@@ -117,9 +117,11 @@
 			n.clients.turn(starting)
 			return nil, nil
 		}
-		st, err := n.standBy(ctx)
+		var st *handover
 		if err == nil {
-			return st, nil
+			if st, err = n.standBy(ctx); err == nil {
+				return st, nil
+			}
 		}
 		if ctx.Err() != nil {
 			return nil, ctx.Err()
@@ -182,7 +184,7 @@
 		if n.lock, err = tryLock(n.cfg.StateDir); n.lock != nil {
 			break
 		}
-		if err != nil || time.Now().After(by) {
+		if err != nil && !momentary(err) || time.Now().After(by) {
 			l.close()
 			return nil, errors.Join(errors.New("the lock is still taken"), err)
 		}
@@ -344,8 +346,9 @@
 	Close() error
 }
 
-// awaitSuccessors greets the processes that come to replace this one, until ctx is over. One at a time stands by.
-func (n *Node) awaitSuccessors(ctx context.Context, ln unixListener) {
+// awaitSuccessors greets the processes that come to replace this one, until ctx is over, and gives them the socket on
+// which clients are taken. One at a time stands by.
+func (n *Node) awaitSuccessors(ctx context.Context, ln unixListener, clients *net.TCPListener) {
 	defer context.AfterFunc(ctx, func() { ln.Close() })()
 	said, rest := "", acceptPause
 	for {
@@ -367,7 +370,7 @@
 		stop := context.AfterFunc(ctx, s.link.close)
 		if err := s.link.hear(); err == nil {
 			n.events <- successorEvent{s: s} // known before it can say that it is ready
-			if err = s.link.welcome(n.cfg.Listen, n.ln.(*net.TCPListener)); err == nil {
+			if err = s.link.welcome(n.cfg.Listen, clients); err == nil {
 				s.read(ctx) // another waits its turn
 			} else {
 				n.log.Warn("handover: greeting", "err", err)
@@ -417,10 +420,8 @@
 	if err != nil {
 		return err
 	}
-	if n.journal.dirty { // the successor would not see what the file lacks
-		if err := n.journal.Compact(); err != nil {
-			return err
-		}
+	if err := n.record(nil); err != nil { // the successor would not see what the file lacks
+		return err
 	}
 	if err := s.link.write(packet{State: st}); err != nil {
 		return err
--- a/internal/node/handover_test.go
+++ b/internal/node/handover_test.go
@@ -382,7 +382,7 @@
 	var log strings.Builder
 	n := &Node{log: slog.New(slog.NewTextHandler(&log, nil))}
 	ln := refusing(4)
-	n.awaitSuccessors(context.Background(), &ln)
+	n.awaitSuccessors(context.Background(), &ln, nil)
 	if got := strings.Count(log.String(), "\n"); got != 1 {
 		t.Errorf("%d lines:\n%s", got, log.String())
 	}
--- a/internal/node/journal_test.go
+++ b/internal/node/journal_test.go
@@ -11,7 +11,7 @@
 
 func openJournal(t *testing.T, dir string, bytes int64) *Journal {
 	t.Helper()
-	j, err := OpenJournal(dir, bytes)
+	j, err := OpenJournal(dir, bytes, false)
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/internal/node/loop.go
+++ b/internal/node/loop.go
@@ -85,7 +85,8 @@
 	// What follows belongs to the loop.
 	due     *time.Timer // the module's
 	token   uint64
-	start   time.Time
+	began   time.Time // of the process
+	start   time.Time // when the module's clock was 0
 	stages  stages
 	held    map[string]*held
 	open    int              // of held, those not over
@@ -99,6 +100,8 @@
 	records []record
 	calling []outgoing // calls of the step at hand
 	clock   *clock.Lasting
+	flush   *time.Timer // tries again to write what the journal has not got
+	failing failures    // of the journal
 }
 
 // New makes a sender. It replays the journal, unless another process owns that.
@@ -108,9 +111,10 @@
 	if err != nil {
 		return nil, err
 	}
-	spent := stages{since: time.Now()}
+	began := time.Now()
+	spent := stages{since: began}
 	lock, err := tryLock(cfg.StateDir)
-	if err != nil {
+	if err != nil && !momentary(err) {
 		return nil, err
 	}
 	spent.done("lock")
@@ -118,7 +122,8 @@
 	// The module asks for the list only where it must, and anywhere after a failed call.
 	n := &Node{cfg: cfg, log: log, lock: lock, follow: !set.OnRequest, sender: sender, dir: NewDirectory(cfg), figures: figures,
 		caller: newCaller(span(cfg.Deploy.ConnectTimeout), span(set.ConnIdle), set.Slots, shareOut(cfg), &figures.relayed),
-		events: make(chan any, eventRoom), ready: make(chan net.Addr, 1), start: time.Now(), stages: spent, due: time.NewTimer(time.Hour), held: map[string]*held{}, out: map[string]*held{}, recent: map[string]int64{}, clock: clock.New()}
+		events: make(chan any, eventRoom), ready: make(chan net.Addr, 1), began: began, start: time.Now(), stages: spent, due: time.NewTimer(time.Hour), held: map[string]*held{}, out: map[string]*held{}, recent: map[string]int64{},
+		clock: clock.New(), flush: time.NewTimer(time.Hour), failing: failures{log: log, what: "journal"}}
 	n.caller.copies = cfg.Deploy.SecondCopies
 	n.disc = newDiscovery(cfg.Discovery, set.Senders, log, n.events)
 	n.disc.pushed = !set.OnRequest
@@ -126,7 +131,7 @@
 	n.clients = newClients(cfg, log, n.events)
 	n.admin = newAdmin(log, n.clients, figures)
 	if lock != nil {
-		if err := n.openJournal(); err != nil {
+		if err := n.openJournal(); err != nil && !momentary(err) {
 			return nil, err
 		}
 	}
@@ -138,17 +143,21 @@
 	return logic.Micros(d / time.Microsecond)
 }
 
-// openJournal replays the journal. The lock must be held.
-func (n *Node) openJournal() (err error) {
-	n.journal, err = OpenJournal(n.cfg.StateDir, int64(n.cfg.Limits.DiskMB*1e6))
-	if err == nil && n.journal.cut > 0 {
-		n.log.Warn("journal: the end cannot be read and is left out", "bytes", n.journal.cut, "kept", len(n.journal.entries))
+// openJournal replays the journal. The lock must be held. A read that fails is given some time to work again.
+func (n *Node) openJournal() error {
+	lenient := time.Since(n.began) > readPatience
+	journal, err := OpenJournal(n.cfg.StateDir, int64(n.cfg.Limits.DiskMB*1e6), lenient)
+	if err != nil {
+		return err
 	}
-	if err == nil {
-		n.clock, n.clients.clock = n.journal.clock, n.journal.clock
+	if journal.cut > 0 {
+		n.log.Warn("journal: the end cannot be read and is left out", "bytes", journal.cut, "kept", len(journal.entries),
+			"aside", journalName+asideSuffix, "err", journal.asideErr)
 	}
+	n.journal = journal
+	n.clock, n.clients.clock = journal.clock, journal.clock
 	n.stages.done("journal")
-	return err
+	return nil
 }
 
 // Run serves until ctx is cancelled, then shuts down in good order, or hands over to a process that stands by.
@@ -156,13 +165,10 @@
 	work, cancel := context.WithCancel(context.Background())
 	defer cancel()
 	if n.cfg.Admin != "" {
-		ln, err := net.Listen("tcp", n.cfg.Admin)
+		served, err := n.serveOperators(work)
 		if err != nil {
-			return fmt.Errorf("listen for operators: %w", err)
+			return err
 		}
-		n.log.Info("operators", "addr", ln.Addr().String())
-		served := make(chan struct{})
-		go func() { n.admin.serve(work, ln); close(served) }()
 		defer func() { cancel(); <-served }()
 	}
 	go n.reloads(work)
@@ -179,29 +185,20 @@
 	}
 	n.step(work) // what the journal holds comes first: its ends are due
 	n.stages.done("step")
-	var err error
-	if n.ln == nil {
-		if n.ln, err = net.Listen("tcp", n.cfg.Listen); err != nil {
-			return fmt.Errorf("listen: %w", err)
-		}
-	}
-	defer n.ln.Close()
-	if ln, err := listenForSuccessor(n.cfg.StateDir); err == nil {
-		go n.awaitSuccessors(work, ln)
-	} else {
-		n.log.Error("no successor can take over", "err", err)
-	}
-	notify, hush := context.WithCancel(work)
-	defer hush()
+	notify, stopNotices := context.WithCancel(work)
+	defer stopNotices()
 	go n.notices.run(notify)
 	if n.before != nil {
 		go n.before.read(work, n.events)
 	}
-	n.clients.turn(serving)
-	go n.clients.serve(n.ln)
-	n.stages.done("listen")
-	n.log.Info("ready", "name", n.cfg.Name, "addr", n.ln.Addr().String(), "held", len(n.held), slog.Group("ms", n.stages.spent...))
-	n.ready <- n.ln.Addr()
+	if err := n.listen(work); err != nil {
+		return err
+	}
+	defer func() {
+		if n.ln != nil {
+			n.ln.Close()
+		}
+	}()
 	go func() {
 		select {
 		case <-ctx.Done():
@@ -210,7 +207,7 @@
 		}
 	}()
 	if n.loop(work) {
-		hush()
+		stopNotices()
 		n.retire(work)
 	}
 	return nil
@@ -219,27 +216,22 @@
 // begin makes this process the owner of the journal and takes up what is owed: from the process before, if that hands
 // over, or else from the journal alone.
 func (n *Node) begin(ctx context.Context) error {
-	if n.journal != nil {
-		n.resume()
-		return nil
-	}
-	st, err := n.claim(ctx)
-	if err != nil {
-		return err
-	}
-	if err := n.openJournal(); err != nil {
-		return err
+	var st *handover
+	if n.lock == nil {
+		var err error
+		if st, err = n.claim(ctx); err != nil {
+			return err
+		}
 	}
-	if n.load != nil { // the file may have been replaced while this process stood by
-		if cfg, err := n.load(); err != nil {
-			n.log.Error("the configuration of the start stands", "err", err)
-		} else if cfg.Discovery != n.disc.addr {
-			n.notices.move(cfg.Discovery)
-			n.disc.move(cfg.Discovery)
+	if n.journal == nil {
+		if err := Persist(ctx, n.log, "journal", n.openJournal); err != nil {
+			return err
 		}
+		n.loadAnew()
 	}
 	if st != nil {
-		if err = n.adopt(st); err == nil {
+		err := n.adopt(st)
+		if err == nil {
 			return nil
 		}
 		n.log.Error("the handover does not fit: the journal alone counts", "err", err)
@@ -251,16 +243,38 @@
 	return nil
 }
 
+// loadAnew follows a configuration that may have been replaced while this process waited for its turn.
+func (n *Node) loadAnew() {
+	if n.load == nil {
+		return
+	}
+	cfg, err := n.load()
+	if err != nil {
+		n.log.Error("the configuration of the start stands", "err", err)
+		return
+	}
+	if cfg.Discovery != n.disc.addr {
+		n.notices.move(cfg.Discovery)
+		n.disc.move(cfg.Discovery)
+	}
+}
+
 // shutDown sends the clients away. The first channel is closed when none is left, the second when the time is up.
 func (n *Node) shutDown(work context.Context) (served, stopped <-chan struct{}) {
 	none, late := make(chan struct{}), make(chan struct{})
 	n.clients.stopReading(n.closing.Add(stopSends))
 	n.clients.turn(stopping)
 	grace, end := context.WithDeadline(work, n.closing.Add(stopAll))
+	ln := n.ln
+	if ln == nil { // it never served
+		close(n.clients.accepted)
+	}
 	go func() {
 		defer end()
 		pause(grace, acceptOn)
-		n.ln.Close()
+		if ln != nil {
+			ln.Close()
+		}
 		n.clients.gone(grace)
 		close(none)
 		<-grace.Done()
@@ -280,6 +294,7 @@
 	rest := time.NewTimer(0)
 	defer rest.Stop()
 	defer n.due.Stop()
+	defer n.flush.Stop()
 	var served, stopped <-chan struct{} // while shutting down
 	quiet := false                      // shutting down, and no client is left
 	for {
@@ -292,6 +307,8 @@
 			n.take(work, ev)
 		case <-n.due.C:
 			n.next = append(n.next, logic.Due{Token: n.token})
+		case <-n.flush.C:
+			n.record(nil)
 		case <-sweep.C:
 			n.caller.sweep()
 			if len(n.dir.gone) > 0 {
@@ -304,6 +321,7 @@
 			continue
 		case <-stopped:
 			// What is still out stays in the journal as it is.
+			n.record(nil)
 			n.log.Info("stopped", "owed", len(n.journal.entries))
 			return false
 		}
@@ -386,14 +404,15 @@
 		for _, id := range ev.ids {
 			n.records = append(n.records, record{Op: opNoticed, ID: id})
 		}
-		if err := n.journal.Append(n.records); err != nil {
-			n.log.Error("journal", "err", err)
-		}
+		records := n.records
 		n.records = nil
+		n.record(records) // at once: what is off the journal makes room
 	case reloadEvent:
 		n.moveTo(work, ev.cfg)
 	case closingEvent:
 		n.closing = ev.at
+	case listeningEvent:
+		n.serve(work, ev.ln)
 	case remoteEvent:
 		n.remote(ev)
 	case successorEvent:
@@ -621,17 +640,15 @@
 			}
 		}
 	}
-	err := n.journal.Append(n.records)
+	records := n.records
 	n.records = nil
-	if err != nil {
-		n.log.Error("journal", "err", err)
-	}
+	err := n.record(records)
 	for i, p := range n.puts {
 		answer := answers[p.msg.ID]
 		switch {
 		case answer != "":
 		case err != nil: // not written, so not taken on
-			answer = busy(0)
+			answer = notWritten(err)
 			n.drop(p.msg.ID)
 			n.next = append(n.next, logic.ClientGone{ID: p.msg.ID})
 		default:
--- a/internal/node/scale_test.go
+++ b/internal/node/scale_test.go
@@ -239,7 +239,7 @@
 // filled is a journal in dir with n messages; with those that the door lets in if n is 0.
 func filled(tb testing.TB, dir string, n int) *Journal {
 	tb.Helper()
-	j, err := OpenJournal(dir, 0)
+	j, err := OpenJournal(dir, 0, false)
 	if err != nil {
 		tb.Fatal(err)
 	}
@@ -355,14 +355,14 @@
 			dir := b.TempDir()
 			onDisk := filled(b, dir, size).size
 			before := heap()
-			j, err := OpenJournal(dir, 0)
+			j, err := OpenJournal(dir, 0, false)
 			if err != nil {
 				b.Fatal(err)
 			}
 			kept, owed := heap()-before, len(j.entries)
 			j.Close()
 			for b.Loop() {
-				j, err := OpenJournal(dir, 0)
+				j, err := OpenJournal(dir, 0, false)
 				if err != nil {
 					b.Fatal(err)
 				}
