--- a/internal/node/faults_test.go
+++ b/internal/node/faults_test.go
@@ -232,3 +232,72 @@
 	}
 	x.kill()
 }
+
+// A configuration that cannot be read for a moment is read again: the signal does not come twice.
+func TestReloadOutlivesAReadThatFails(t *testing.T) {
+	old, fresh, e, dir := newPlatform(t), newPlatform(t), newEndpoint(t), t.TempDir()
+	known := List{Generation: 5, Reset: true, Instances: instances(e)}
+	old.list, fresh.list = known, known
+	now := planTime()
+	x := startFaulty(t, old, dir, configText(old, known), faultinject.Plan{Faults: []faultinject.Fault{{Call: "open",
+		Errno: syscall.ENFILE, From: now + 800*time.Millisecond, To: now + 1800*time.Millisecond, Chance: 1}}})
+	await(t, x.ready, "ready program")
+	for faultinject.Now() < now+time.Second {
+		time.Sleep(10 * time.Millisecond)
+	}
+	x.hup(configText(fresh, known))
+	select {
+	case <-fresh.asked:
+	case <-time.After(3 * time.Second):
+		t.Error("discovery has not moved")
+	}
+	x.kill()
+}
+
+// What is returned may be handed in again, so no later process may send it: the journal has its end before the platform
+// is told, or its time is up.
+func TestReturnedIsNeverSentByTheNextProcess(t *testing.T) {
+	p, e, dir := newPlatform(t), newEndpoint(t), t.TempDir()
+	known := List{Generation: 1, Reset: true, Instances: instances(e)}
+	p.list = known
+	now := planTime()
+	x := startFaulty(t, p, dir, configText(p, known), faultinject.Plan{Faults: []faultinject.Fault{{Call: "pwrite", On: faultinject.StateFiles,
+		Errno: syscall.EIO, From: now + 2500*time.Millisecond, To: now + time.Minute, Chance: 1}}})
+	x.addr = await(t, x.ready, "ready program")
+	c := dial(t, x.addr)
+	const usual = time.Second // what a call takes: with less than that left a message is returned
+	for i := range 5 {
+		c.put(fmt.Sprint("usual-", i), "safe", "+OK")
+	}
+	for range 5 {
+		in := await(t, e.calls, "call")
+		time.AfterFunc(usual-time.Since(in.at), func() { in.reply(200) })
+	}
+	time.Sleep(usual + 50*time.Millisecond)
+	c.put("told-to-wait", "safe", "+OK")
+	await(t, e.calls, "call").reply(429, "X-Come-Back-Ms: 60000")
+	const span = 3500 * time.Millisecond
+	taken := time.Now()
+	c.putFor("held", "safe", int(span.Milliseconds()), "+OK")
+	returned := false
+	select {
+	case n := <-p.notices:
+		returned = n == Notice{ID: "held", State: "returned", AfterMS: n.AfterMS}
+	case <-time.After(span - usual/2 - time.Since(taken)):
+	}
+	x.kill()
+	x = startProcess(t, p, dir, known)
+	for wait := time.After(span - time.Since(taken)); ; {
+		select {
+		case in := <-e.calls:
+			in.reply(200)
+			if in.id() == "held" && returned {
+				t.Error("sent after it was returned")
+			}
+			continue
+		case <-wait:
+		}
+		break
+	}
+	x.kill()
+}
