--- a/internal/node/bulk.go
+++ b/internal/node/bulk.go
@@ -163,7 +163,7 @@
 	if err != nil {
 		r := result{outcome: logic.RefusedConn}
 		if ownFault(err) {
-			r = result{outcome: logic.Moot, local: true}
+			r = result{outcome: logic.Unsent, local: true}
 			pause(ctx, jitter(retryPause)) // descriptors, say: room may come
 		}
 		b.settleAll(sent, r)
--- a/internal/node/calls.go
+++ b/internal/node/calls.go
@@ -40,6 +40,8 @@
 	request *http.Request
 	state   *atomic.Int32
 	carries int // messages
+
+	recorded bool // the journal has it
 }
 
 // The states of a call. It goes from the first to one of the others, once.
@@ -110,7 +112,7 @@
 	}
 	if err != nil {
 		if ownFault(err) {
-			return result{outcome: logic.Moot, local: true}
+			return result{outcome: logic.Unsent, local: true}
 		}
 		return result{outcome: logic.RefusedConn}
 	}
@@ -250,7 +252,7 @@
 
 // ownFault says whether a connection failed for want of something at this end, which tells nothing of the endpoint.
 func ownFault(err error) bool {
-	for _, own := range []error{errNoRoom, syscall.EMFILE, syscall.ENFILE, syscall.ENOBUFS, syscall.ENOMEM, syscall.EADDRNOTAVAIL} {
+	for _, own := range []error{errNoRoom, syscall.EMFILE, syscall.ENFILE, syscall.ENOBUFS, syscall.ENOMEM, syscall.EADDRNOTAVAIL, syscall.ENETUNREACH, syscall.ENETDOWN} {
 		if errors.Is(err, own) {
 			return true
 		}
--- a/internal/node/journal.go
+++ b/internal/node/journal.go
@@ -70,6 +70,7 @@
 	At     int64   `json:"at,omitempty"`
 	Zone   int     `json:"zone,omitempty"`
 	MayRun bool    `json:"may_run,omitempty"`
+	Unsent bool    `json:"unsent,omitempty"` // with opOutcome: the attempt does not count
 	Notice *Notice `json:"notice,omitempty"`
 
 	Clock *clock.Stamp `json:"clock,omitempty"`
@@ -275,6 +276,9 @@
 			e.FirstMay, e.FirstZone = rec.At, rec.Zone
 		}
 	case opOutcome:
+		if rec.Unsent {
+			e.Tries--
+		}
 		e.Open = false
 		e.MayRun = e.MayRun || rec.MayRun
 	case opEnd:
--- a/internal/node/loop.go
+++ b/internal/node/loop.go
@@ -561,6 +561,9 @@
 	h.trail.heard(r)
 	if r.wait > 0 {
 		n.holdWait(ev.call.ep)
+	if r.outcome == logic.Unsent {
+		h.tries--
+	}
 	}
 	ended := h.over
 	done := r.outcome == logic.Completed || r.over
@@ -576,8 +579,9 @@
 		}
 		n.finish(ev.call.id, h)
 	default:
-		n.records = append(n.records, record{Op: opOutcome, ID: ev.call.id, MayRun: mayHaveRun(r.outcome)})
+		n.records = append(n.records, record{Op: opOutcome, ID: ev.call.id, MayRun: mayHaveRun(r.outcome), Unsent: r.outcome == logic.Unsent})
 	}
+	case r.outcome == logic.Unsent && !ev.call.recorded: // the journal knows nothing of it
 	if h.over {
 		delete(n.held, ev.call.id)
 	}
@@ -593,7 +597,7 @@
 
 // mayHaveRun says what an outcome leaves open.
 func mayHaveRun(o logic.Outcome) bool {
-	return o != logic.Full && o != logic.RefusedConn && o != logic.Moot
+	return o != logic.Full && o != logic.RefusedConn && o != logic.Moot && o != logic.Unsent
 }
 
 // finish takes a message off the books; its id is remembered until its time is up.
@@ -778,8 +782,9 @@
 	if in.request, err = deliverRequest(h.msg, to.addr, in.giveUp); err != nil || !written {
 		if err != nil {
 			n.log.Error("call", "err", err)
+	in.recorded = written
 		}
-		ev := replyEvent{in, result{outcome: logic.Moot}, 0}
+		ev := replyEvent{in, result{outcome: logic.Unsent}, 0}
 		time.AfterFunc(jitter(retryPause), func() { n.events <- ev }) // a full disk, say: room may come
 		return
 	}
--- a/internal/node/trail.go
+++ b/internal/node/trail.go
@@ -10,7 +10,7 @@
 // outcomeNames are for the people on call.
 var outcomeNames = map[logic.Outcome]string{logic.Completed: "ok", logic.Errored: "error", logic.Full: "full",
 	logic.Overdue: "timeout", logic.RefusedConn: "no-connection", logic.Severed: "reset", logic.Recalled: "recalled",
-	logic.Moot: "not-sent", logic.Spoilt: "unreadable"}
+	logic.Moot: "not-sent", logic.Unsent: "held-here", logic.Spoilt: "unreadable"}
 
 // trail is the course of a message: each attempt as the time of its send, its endpoint, its outcome and the
 // time of that, in milliseconds from when the message came.
--- a/logic/logic.go
+++ b/logic/logic.go
@@ -809,7 +809,10 @@
 	if r.Outcome == Completed || r.Outcome == Full || r.Outcome == Errored {
 		e.resets = 0
 	}
-	if r.Outcome != Full && r.Outcome != RefusedConn && r.Outcome != Moot {
+	if r.Outcome == Unsent {
+		m.tries--
+	}
+	if r.Outcome != Full && r.Outcome != RefusedConn && r.Outcome != Moot && r.Outcome != Unsent {
 		m.mayRun = true
 	}
 	if r.Wait > 0 { // it binds with any outcome: the answer to a batch may tell one and have taken some on
--- a/logic/types.go
+++ b/logic/types.go
@@ -188,7 +188,7 @@
 // Outcome says how an attempt ended.
 type Outcome int
 
-// Outcomes. Full, RefusedConn and Moot prove that the attempt never ran.
+// Outcomes. Full, RefusedConn, Moot and Unsent prove that the attempt never ran.
 const (
 	Completed   Outcome = iota // delivered
 	Errored                    // answered with an error
@@ -199,6 +199,7 @@
 	Recalled                   // called off
 	Moot                       // never sent: no slot, message over, or too many attempts
 	Spoilt                     // answered with what can't be read: it may have run, and the endpoint is there
+	Unsent                     // never left this process for want of something here: it counts as no attempt
 )
 
 // Reply is the one outcome of an attempt.
