Read a configuration again that could not be read at SIGHUP

Cause: reloads took one error of the read for the end of it; the address left behind takes no calls, and the signal does not come twice.

It is read again each 0.1 s, for 30 s where the file itself makes no sense, anew with each signal. A process that stood by and cannot read it when its turn comes does the same.

--- a/internal/node/loop.go
+++ b/internal/node/loop.go
@@ -78,9 +78,10 @@
 	ready   chan net.Addr // gets the address once clients are served
 	reload  <-chan os.Signal
 	load    func() (*Config, error)
-	follow  bool         // watch discovery from the start
-	lock    *os.File     // on the state folder; nil while another process owns it
-	ln      net.Listener // clients'
+	again   chan struct{} // holds one token while the configuration is to be read without a signal
+	follow  bool          // watch discovery from the start
+	lock    *os.File      // on the state folder; nil while another process owns it
+	ln      net.Listener  // clients'
 
 	// What follows belongs to the loop.
 	due     *time.Timer // the module's
@@ -122,7 +123,7 @@
 	// The module asks for the list only where it must, and anywhere after a failed call.
 	n := &Node{cfg: cfg, log: log, lock: lock, follow: !set.OnRequest, sender: sender, dir: NewDirectory(cfg), figures: figures,
 		caller: newCaller(span(cfg.Deploy.ConnectTimeout), span(set.ConnIdle), set.Slots, shareOut(cfg), &figures.relayed),
-		events: make(chan any, eventRoom), ready: make(chan net.Addr, 1), began: began, start: time.Now(), stages: spent, due: time.NewTimer(time.Hour), held: map[string]*held{}, out: map[string]*held{}, recent: map[string]int64{},
+		events: make(chan any, eventRoom), ready: make(chan net.Addr, 1), again: make(chan struct{}, 1), began: began, start: time.Now(), stages: spent, due: time.NewTimer(time.Hour), held: map[string]*held{}, out: map[string]*held{}, recent: map[string]int64{},
 		clock: clock.New(), flush: time.NewTimer(time.Hour), failing: failures{log: log, what: "journal"}}
 	n.caller.copies = cfg.Deploy.SecondCopies
 	n.disc = newDiscovery(cfg.Discovery, set.Senders, log, n.events)
@@ -250,7 +251,8 @@
 	}
 	cfg, err := n.load()
 	if err != nil {
-		n.log.Error("the configuration of the start stands", "err", err)
+		n.log.Warn("the configuration of the start stands until it can be read", "err", err)
+		n.reloadNow()
 		return
 	}
 	if cfg.Discovery != n.disc.addr {
--- a/internal/node/reload.go
+++ b/internal/node/reload.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"os"
+	"time"
 )
 
 // reloadEvent carries a configuration that was read anew.
@@ -14,20 +15,58 @@
 	n.reload, n.load = signals, load
 }
 
-// reloads passes new configurations on to the loop. One that can't be read changes nothing.
+const (
+	reloadPause    = 100 * time.Millisecond // before a configuration that could not be read is read again
+	reloadPatience = 30 * time.Second       // for a file that makes no sense to be replaced by one that does
+)
+
+// reloadNow has the configuration read without a signal.
+func (n *Node) reloadNow() {
+	select {
+	case n.again <- struct{}{}:
+	default: // it is about to be
+	}
+}
+
+// reloads passes new configurations on to the loop.
 func (n *Node) reloads(ctx context.Context) {
 	for {
 		select {
 		case <-ctx.Done():
 			return
 		case <-n.reload:
+		case <-n.again:
+		}
+		if cfg := n.loadPatiently(ctx); cfg != nil {
+			n.events <- reloadEvent{cfg}
 		}
+	}
+}
+
+// loadPatiently reads the configuration until it can be read: the address that the old one names takes no calls any
+// more, and the signal does not come again. One that makes no sense for long changes nothing.
+func (n *Node) loadPatiently(ctx context.Context) *Config {
+	said := false
+	begun := time.Now()
+	for {
 		cfg, err := n.load()
-		if err != nil {
+		if err == nil {
+			return cfg
+		}
+		if !said {
 			n.log.Error("reload: the old configuration stands", "err", err)
-			continue
+			said = true
+		}
+		if !momentary(err) && time.Since(begun) > reloadPatience {
+			return nil
+		}
+		select {
+		case <-time.After(jitter(reloadPause)):
+		case <-n.reload: // another file
+			said, begun = false, time.Now()
+		case <-ctx.Done():
+			return nil
 		}
-		n.events <- reloadEvent{cfg}
 	}
 }
 
