--- a/internal/node/handover.go
+++ b/internal/node/handover.go
@@ -441,7 +441,11 @@
 	if err := s.link.write(packet{Yours: true}); err != nil {
 		return err
 	}
-	return errors.Join(n.journal.Close(), n.lock.Close())
+	// From here on the journal is the successor's, whatever else fails.
+	if err := errors.Join(n.journal.Close(), n.lock.Close()); err != nil {
+		n.log.Error("handover: closing", "err", err)
+	}
+	return nil
 }
 
 // handoverState collects what the journal does not hold.
--- a/internal/node/loop.go
+++ b/internal/node/loop.go
@@ -101,6 +101,7 @@
 	records []record
 	calling []outgoing // calls of the step at hand
 	clock   *clock.Lasting
+	unsaid  []unsaid    // ends that the journal has not got yet
 	flush   *time.Timer // tries again to write what the journal has not got
 	failing failures    // of the journal
 }
@@ -560,12 +561,12 @@
 		n.landed(h)
 	}
 	r := ev.result
-	h.trail.heard(r)
-	if r.wait > 0 {
-		n.holdWait(ev.call.ep)
 	if r.outcome == logic.Unsent {
 		h.tries--
 	}
+	h.trail.heard(r)
+	if r.wait > 0 {
+		n.holdWait(ev.call.ep)
 	}
 	ended := h.over
 	done := r.outcome == logic.Completed || r.over
@@ -580,10 +581,10 @@
 			n.figures.fulfilled(h.msg.Class)
 		}
 		n.finish(ev.call.id, h)
+	case r.outcome == logic.Unsent && !ev.call.recorded: // the journal knows nothing of it
 	default:
 		n.records = append(n.records, record{Op: opOutcome, ID: ev.call.id, MayRun: mayHaveRun(r.outcome), Unsent: r.outcome == logic.Unsent})
 	}
-	case r.outcome == logic.Unsent && !ev.call.recorded: // the journal knows nothing of it
 	if h.over {
 		delete(n.held, ev.call.id)
 	}
@@ -745,7 +746,7 @@
 		if h := n.held[x.ID]; h != nil && !h.over {
 			n.figures.told(h.msg.Class, x.State)
 			n.finish(x.ID, h)
-			n.notices.add(x)
+			n.say(x, h.msg.Deadline)
 		}
 	case logic.SetTimer:
 		n.due.Reset(span(a.Wait)) // it goes off no later than the one before
@@ -781,10 +782,10 @@
 	ctx, stop := context.WithCancel(work)
 	n.goesOut(h, in, stop)
 	var err error
+	in.recorded = written
 	if in.request, err = deliverRequest(h.msg, to.addr, in.giveUp); err != nil || !written {
 		if err != nil {
 			n.log.Error("call", "err", err)
-	in.recorded = written
 		}
 		ev := replyEvent{in, result{outcome: logic.Unsent}, 0}
 		time.AfterFunc(jitter(retryPause), func() { n.events <- ev }) // a full disk, say: room may come
