Show clients closed for interrupted waits and failed accepts, and a log that stops the sender

On real processes: EINTR on half of the waits closes a connection with a request on it; accepts that fail for a second (ENFILE, ENOBUFS, EHOSTUNREACH) close resting and new clients; a log pipe that nobody reads stops all service, one that is closed ends the process.

--- a/internal/node/faults_test.go
+++ b/internal/node/faults_test.go
@@ -3,7 +3,9 @@
 import (
 	"context"
 	"fmt"
+	"net"
 	"os"
+	"os/exec"
 	"path/filepath"
 	"strings"
 	"sync"
@@ -301,3 +303,107 @@
 	}
 	x.kill()
 }
+
+// A wait that a signal interrupts says nothing of the connection: it stays, and what comes on it is answered.
+func TestInterruptedWaitsCloseNothing(t *testing.T) {
+	p, e, dir := newPlatform(t), newEndpoint(t), t.TempDir()
+	known := List{Generation: 1, Reset: true, Instances: instances(e)}
+	p.list = known
+	now := planTime()
+	x := startFaulty(t, p, dir, configText(p, known), faultinject.Plan{Faults: []faultinject.Fault{{Call: "receive",
+		Errno: syscall.EINTR, From: now, To: now + time.Minute, Chance: 0.5}}})
+	x.addr = await(t, x.ready, "ready program")
+	c := dial(t, x.addr)
+	for i := range 40 {
+		c.put(fmt.Sprint("m-", i), "safe", "+OK")
+		await(t, e.calls, "call").reply(200)
+	}
+	x.kill()
+}
+
+// What keeps a new connection from being accepted is no reason to close one that rests.
+func TestFailedAcceptsCloseNothing(t *testing.T) {
+	for _, errno := range []syscall.Errno{syscall.ENFILE, syscall.ENOBUFS, syscall.EHOSTUNREACH, syscall.ECONNABORTED} {
+		t.Run(errno.Error(), func(t *testing.T) {
+			t.Parallel()
+			p, e, dir := newPlatform(t), newEndpoint(t), t.TempDir()
+			known := List{Generation: 1, Reset: true, Instances: instances(e)}
+			p.list = known
+			now := planTime()
+			x := startFaulty(t, p, dir, configText(p, known), faultinject.Plan{Faults: []faultinject.Fault{{Call: "accept",
+				Errno: errno, From: now + 700*time.Millisecond, To: now + 1700*time.Millisecond, Chance: 0.9}}})
+			x.addr = await(t, x.ready, "ready program")
+			resting := dial(t, x.addr)
+			resting.put("before", "safe", "+OK")
+			await(t, e.calls, "call").reply(200)
+			for faultinject.Now() < now+700*time.Millisecond {
+				time.Sleep(10 * time.Millisecond)
+			}
+			for i := range 3 {
+				dial(t, x.addr).put(fmt.Sprint("new-", i), "safe", "+OK")
+				await(t, e.calls, "call").reply(200)
+			}
+			resting.put("after", "safe", "+OK")
+			await(t, e.calls, "call").reply(200)
+			x.kill()
+		})
+	}
+}
+
+// Whoever reads the log may stall or go away: the sender goes on.
+func TestLogThatNobodyReads(t *testing.T) {
+	for name, closed := range map[string]bool{"reader stalls": false, "reader is gone": true} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			p, e, dir := newPlatform(t), newEndpoint(t), t.TempDir()
+			known := List{Generation: 1, Reset: true, Instances: instances(e)}
+			p.list = known
+			path, err := program()
+			if err != nil {
+				t.Fatal(err)
+			}
+			config := filepath.Join(t.TempDir(), "config.json")
+			if err := os.WriteFile(config, configText(p, known), 0o600); err != nil {
+				t.Fatal(err)
+			}
+			ln, err := net.Listen("tcp", "127.0.0.1:0")
+			if err != nil {
+				t.Fatal(err)
+			}
+			addr := ln.Addr().String()
+			ln.Close()
+			r, w, err := os.Pipe()
+			if err != nil {
+				t.Fatal(err)
+			}
+			defer r.Close()
+			cmd := exec.Command(path)
+			cmd.Stderr = w
+			cmd.Env = append(os.Environ(), "BALANCER_LISTEN="+addr, "BALANCER_STATE="+dir, "BALANCER_CONFIG="+config)
+			if err := cmd.Start(); err != nil {
+				t.Fatal(err)
+			}
+			defer cmd.Process.Kill()
+			w.Close()
+			if closed {
+				r.Close()
+			}
+			for stop := time.Now().Add(patience); ; time.Sleep(10 * time.Millisecond) {
+				if conn, err := net.Dial("tcp", addr); err == nil {
+					conn.Close()
+					break
+				}
+				if time.Now().After(stop) {
+					t.Fatal("does not serve")
+				}
+			}
+			c := dial(t, addr)
+			c.conn.SetDeadline(time.Now().Add(patience))
+			for i := range 900 { // a line for each: more than a pipe holds
+				c.put(fmt.Sprint("m-", i), "unsafe", "+OK")
+				await(t, e.calls, "call").reply(500)
+				await(t, p.notices, "notice")
+			}
+		})
+	}
+}
