Wait on for a request when a signal interrupts the wait

Cause: awaitInput took every error but EAGAIN from the look at a connection for its end, EINTR too, and closed it, often over a request that had come; peek did so with kept connections.

The look is taken again after EINTR; what fails for a moment counts as input, and the read that follows tells.

--- a/internal/node/clients.go
+++ b/internal/node/clients.go
@@ -158,9 +158,9 @@
 		return false, err
 	}
 	err = raw.Read(func(fd uintptr) bool {
-		var b [1]byte
-		n, _, err := syscall.Recvfrom(int(fd), b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
-		data = n > 0
+		n, err := peekByte(fd)
+		// An error of the moment says nothing of the connection: whoever reads it will see.
+		data = n > 0 || err != nil && momentary(err)
 		return !errors.Is(err, syscall.EAGAIN)
 	})
 	return data, err
@@ -168,6 +168,17 @@
 
 // peek looks at a connection without reading or waiting: whether the peer has it
 // open still, and whether something has come.
+// peekByte looks whether a byte has come, without taking it.
+func peekByte(fd uintptr) (n int, err error) {
+	var b [1]byte
+	for {
+		n, _, err = syscall.Recvfrom(int(fd), b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+		if !errors.Is(err, syscall.EINTR) {
+			return n, err
+		}
+	}
+}
+
 func peek(conn net.Conn) (alive, data bool) {
 	sc, ok := conn.(syscall.Conn)
 	if !ok {
@@ -178,8 +189,7 @@
 		return false, false
 	}
 	err = raw.Control(func(fd uintptr) {
-		var b [1]byte
-		n, _, err := syscall.Recvfrom(int(fd), b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+		n, err := peekByte(fd)
 		data = n > 0
 		alive = data || errors.Is(err, syscall.EAGAIN)
 	})
