Close no resting client because an accept fails, unless descriptors have run out

Only EMFILE makes room so; all errors are followed by a pause and logged once for a row, as are those of a process that waits for its turn. TestFailedAcceptsCloseNothing passed, three of its four cases failed before.

--- a/internal/node/clients.go
+++ b/internal/node/clients.go
@@ -61,15 +61,17 @@
 // serve accepts connections until the listener is closed.
 func (c *clients) serve(ln net.Listener) {
 	defer close(c.accepted)
+	failing := failures{log: c.log, what: "accept"}
 	for {
 		conn, err := ln.Accept()
+		if errors.Is(err, net.ErrClosed) {
+			return
+		}
+		failing.note(err)
 		if err != nil {
-			if errors.Is(err, net.ErrClosed) {
-				return
-			}
-			c.log.Warn("accept", "err", err)
-			if !c.evict() {
-				time.Sleep(acceptPause) // out of descriptors, say: one that closes makes room
+			// Only where this process is out of descriptors does one that closes make room.
+			if !errors.Is(err, syscall.EMFILE) || !c.evict() {
+				time.Sleep(acceptPause)
 			}
 			continue
 		}
@@ -166,8 +168,6 @@
 	return data, err
 }
 
-// peek looks at a connection without reading or waiting: whether the peer has it
-// open still, and whether something has come.
 // peekByte looks whether a byte has come, without taking it.
 func peekByte(fd uintptr) (n int, err error) {
 	var b [1]byte
@@ -179,6 +179,8 @@
 	}
 }
 
+// peek looks at a connection without reading or waiting: whether the peer has it
+// open still, and whether something has come.
 func peek(conn net.Conn) (alive, data bool) {
 	sc, ok := conn.(syscall.Conn)
 	if !ok {
--- a/internal/node/handover.go
+++ b/internal/node/handover.go
@@ -105,7 +105,7 @@
 // claim waits until this process owns the state folder. With a predecessor that hands over it returns what that
 // has told, else nil: then the journal alone counts.
 func (n *Node) claim(ctx context.Context) (*handover, error) {
-	said := ""
+	failing := failures{log: n.log, what: "no handover: waits for the owner's end"}
 	for {
 		lock, err := tryLock(n.cfg.StateDir)
 		if err != nil && !momentary(err) {
@@ -126,10 +126,7 @@
 		if ctx.Err() != nil {
 			return nil, ctx.Err()
 		}
-		if err.Error() != said { // once for a row of failures
-			said = err.Error()
-			n.log.Warn("no handover: waits for the owner's end", "err", err)
-		}
+		failing.note(err)
 		n.clients.turn(starting)
 		pause(ctx, standbyPause)
 	}
