Hold slow start until a sibling was seen to answer while the other was out

An answer shows an endpoint to be well only if a later call to the sibling failed. A lane of many senders with no limit known and no answer lately rests 2 to 4 s after a first refusal.

--- a/logic/logic.go
+++ b/logic/logic.go
@@ -37,6 +37,7 @@
 
 	badAlpha     = 0.3          // ours: weight of the newest outcome in an endpoint's share of failures
 	badShare     = 0.45         // ours: failing more than this is an outage
+	firstRest    = 2 * Second   // ours: many senders: least rest after a first refusal; as much by chance
 	shyMost      = 8 * Second   // ours: longest mean rest of a lane, among many senders
 	sendAgain    = 1.0          // ours: part of the traffic of an outage that comes again at one time
 	outage       = 5 * Second   // ours: how long an outage lasted, beside the time since we saw it
@@ -160,7 +161,7 @@
 			s.unlist(e)
 		}
 		e = &endpoint{id: row.Endpoint, dest: d, lane: d.lane, state: Gone}
-		e.lastOK, e.lastBad, e.lastSent, e.well = longAgo, longAgo, longAgo, longAgo
+		e.lastOK, e.lastBad, e.lastSent, e.well, e.okSent = longAgo, longAgo, longAgo, longAgo, longAgo
 		if s.kind(d).Apart {
 			e.lane = &lane{}
 		}
@@ -169,7 +170,7 @@
 		for _, x := range d.eps {
 			if x.cold && e.lane == x.lane {
 				s.setStatus(e, e.state, x.ejected)
-				e.cold, e.backAt, e.trialAt, e.lastBad = true, x.backAt, x.trialAt, x.lastBad
+				e.cold, e.backAt, e.trialAt, e.lastBad, e.outAt = true, x.backAt, x.trialAt, x.lastBad, x.outAt
 				e.downAt = x.downAt
 			}
 		}
@@ -467,8 +468,8 @@
 		return 0 // a trial so soon cannot meet the return from an outage
 	}
 	if !e.cold && !slices.ContainsFunc(e.dest.eps, func(x *endpoint) bool {
-		// e did not answer while x was out
-		return x.cold && x.lane == e.lane && x.lastBad > e.well && !s.mayBeGone(x)
+		// e was not seen to answer while x was out
+		return x.cold && x.lane == e.lane && x.outAt >= e.well && !s.mayBeGone(x)
 	}) {
 		return 0
 	}
@@ -602,6 +603,10 @@
 	s.paced(l)
 	// Others were refused too: the next call comes half a pace early or late, or up to one after a wait.
 	l.tokens = min(l.tokens, s.rng.Float64()-0.5)
+	if s.many && l.limit == 0 && l.fulls == 0 && since(l.served, s.now-lately) == 0 {
+		// It may be shut: what comes back must not meet all that were refused once in its last seconds.
+		l.tokens = min(l.tokens, 1-l.pace*seconds(firstRest+Micros(s.rng.Float64()*float64(firstRest))))
+	}
 	if l.until > s.now {
 		l.filled, l.tokens = l.until, l.tokens+0.5
 	}
@@ -865,6 +870,9 @@
 	}
 	if lastOfCall { // a batch is one call: one sign
 		s.sign(e, r.Outcome)
+		if e.ejected && r.Outcome != Moot && r.Outcome != Unsent {
+			s.vouch(e, a.at)
+		}
 	}
 	e.warm = s.now + s.set.ConnIdle
 	if s.many && e.inflight == 0 {
@@ -930,17 +938,23 @@
 		e.backAt, e.trialGap = s.now, 0
 		e.cold = sent >= e.downAt+outageLeast || e.cold && e.bad*(1-badAlpha) > badShare
 	}
-	// An answer while a sibling is out shows that e is well; one after its return may be of the return itself.
-	if !slices.ContainsFunc(e.dest.eps, func(x *endpoint) bool {
-		return x.cold && !x.ejected && x.lane == e.lane && x.lastBad > e.well
-	}) {
-		e.well = max(e.well, sent)
-	}
+	e.okSent = max(e.okSent, sent)
 	e.lastOK = s.now
 	e.fails, e.fulls, e.spoilt, e.lane.fulls = 0, 0, 0, 0
 	e.bad *= 1 - badAlpha
 }
 
+// vouch notes which siblings of x are well by themselves: a call that was sent to x at a time has failed, and
+// they answered one that was sent since x was out and before that. An answer alone may come of the return of
+// all, with x not tried since.
+func (s *Sender) vouch(x *endpoint, sent Micros) {
+	for _, e := range x.dest.eps {
+		if e != x && e.lane == x.lane && e.okSent > x.outAt && e.okSent < sent {
+			e.well = s.now
+		}
+	}
+}
+
 // failed notes a sign of an outage at e: an error, a reset, no connection or no answer.
 func (s *Sender) failed(e *endpoint, how string) {
 	e.fails++
@@ -998,6 +1012,7 @@
 func (s *Sender) eject(e *endpoint, how string) {
 	if !e.ejected {
 		s.log("endpoint %d out: %s", e.id, how)
+		e.outAt = s.now
 		s.setStatus(e, e.state, true)
 		e.trialGap, e.trialAt = trialGap, s.now+trialGap
 		if !e.cold {
--- a/logic/snapshot.go
+++ b/logic/snapshot.go
@@ -96,6 +96,7 @@
 	GoneAt            Micros
 	LastOK, LastBad   Micros
 	Well              Micros
+	OKSent, OutAt     Micros `json:",omitempty"` // not of older builds
 	Suspect, Cold     bool
 	BackAt, DownAt    Micros
 	TrialAt, TrialGap Micros
@@ -252,7 +253,7 @@
 	}
 	for _, e := range eps.list {
 		y := endpointState{e.id, s.eps[e.id] == e, e.zone, e.state, places[e.dest], nil, e.sent, e.bad, e.fails, e.fulls,
-			e.spoilt, e.resets, e.goneAt, e.lastOK, e.lastBad, e.well, e.ejected, e.cold, e.backAt, e.downAt, e.trialAt,
+			e.spoilt, e.resets, e.goneAt, e.lastOK, e.lastBad, e.well, e.okSent, e.outAt, e.ejected, e.cold, e.backAt, e.downAt, e.trialAt,
 			e.trialGap, e.inflight, e.slow, e.lastSent, e.warm}
 		if e.lane != e.dest.lane {
 			own := e.lane.save()
@@ -328,7 +329,7 @@
 		d := s.order[y.Dest]
 		e := &endpoint{id: y.ID, zone: y.Zone, state: Gone, dest: d, lane: d.lane, sent: y.Sent, bad: y.Bad,
 			fails: y.Fails, fulls: y.Fulls, spoilt: y.Spoilt, resets: y.Resets, goneAt: y.GoneAt, lastOK: y.LastOK,
-			lastBad: y.LastBad, well: y.Well, cold: y.Cold, backAt: y.BackAt, downAt: y.DownAt,
+			lastBad: y.LastBad, well: y.Well, okSent: y.OKSent, outAt: y.OutAt, cold: y.Cold, backAt: y.BackAt, downAt: y.DownAt,
 			trialAt: y.TrialAt, trialGap: y.TrialGap, inflight: y.Inflight, slow: y.Slow, lastSent: y.LastSent, warm: y.Warm}
 		s.setStatus(e, y.State, y.Suspect)
 		if y.Own != nil {
--- a/logic/state.go
+++ b/logic/state.go
@@ -55,7 +55,9 @@
 	spoilt, resets    int // in a row
 	goneAt            Micros
 	lastOK, lastBad   Micros
-	well              Micros // last answer that shows it to be well for itself
+	okSent            Micros // send of the last call that was answered
+	outAt             Micros // when it was last ejected
+	well              Micros // when it was last seen to be well while a sibling was out
 	ejected           bool   // out, as far as we know
 	cold              bool   // was out; budgeted until backAt+WarmAfter
 	backAt            Micros
