Give soaked senders ports of their own, and count nothing as told while no process asks

Two faults of the oracle, each seen as a violation and traced: a port that was free at the draw was taken by an outgoing connection (4 starts not ready), and a change counted as told to the next process from before its start (1 drain).

--- a/internal/soak/agent.go
+++ b/internal/soak/agent.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"io"
+	"math"
 	"net"
 	"net/http"
 	"strconv"
@@ -109,7 +110,9 @@
 	active  int
 	mode    Kind // DiscoveryDown, DiscoverySlow or empty
 	changed chan struct{}
-	upSince time.Duration // when it could last be reached again, or the process was started
+	upSince time.Duration // when it could last be reached again
+
+	askedSince time.Duration // when the process was started
 }
 
 func newAgent(sender int, l *Ledger, r *registry) (*agent, error) {
@@ -174,11 +177,14 @@
 	}
 }
 
-// reached notes that from a time on the agent can be reached anew, or under another address.
-func (a *agent) reached(at time.Duration) {
+// never is a time past every run.
+const never = time.Duration(math.MaxInt64 / 2)
+
+// askedFrom notes since when there is a process that asks; never while there is none.
+func (a *agent) askedFrom(at time.Duration) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	a.upSince = max(a.upSince, at)
+	a.askedSince = at
 }
 
 func (a *agent) state() (Kind, <-chan struct{}) {
@@ -258,7 +264,7 @@
 // counts notes what counts as told though it may not have been written. It is called now and then.
 func (a *agent) counts(moved time.Duration) {
 	a.mu.Lock()
-	mode, up := a.mode, a.upSince
+	mode, up := a.mode, max(a.upSince, a.askedSince)
 	a.mu.Unlock()
 	if mode == DiscoveryDown {
 		return
--- a/internal/soak/process.go
+++ b/internal/soak/process.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"io"
 	"net"
@@ -11,6 +12,7 @@
 	"path/filepath"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -48,14 +50,27 @@
 	wanted bool // its end is; under the lock of sender
 }
 
-// freeAddress finds a port that nobody has now.
+// Ports of senders lie below those that the system gives to outgoing connections, which would take one that is free
+// for the time of a restart.
+const (
+	firstPort = 10000
+	lastPort  = 32000
+)
+
+var nextPort atomic.Int64
+
+func init() { nextPort.Store(int64(os.Getpid()) * 131) }
+
+// freeAddress finds a port that nobody has now and that no other run of this process was given.
 func freeAddress() (string, error) {
-	ln, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		return "", err
+	for range lastPort - firstPort {
+		addr := fmt.Sprintf("127.0.0.1:%d", firstPort+nextPort.Add(1)%(lastPort-firstPort))
+		ln, err := net.Listen("tcp", addr)
+		if err == nil {
+			return addr, ln.Close()
+		}
 	}
-	defer ln.Close()
-	return ln.Addr().String(), nil
+	return "", errors.New("no free port")
 }
 
 func (s *sender) stateDir() string { return filepath.Join(s.dir, "state") }
@@ -185,16 +200,18 @@
 }
 
 // begin starts the first process of a sender.
-func (s *sender) begin() error {
+func (s *sender) begin() {
+	s.serving.Lock()
+	defer s.serving.Unlock()
 	p, err := s.start()
 	if err != nil {
-		return err
+		s.run.fail(err)
+		return
 	}
 	s.mu.Lock()
 	s.cmd = p
 	s.mu.Unlock()
 	s.awaitReady(p)
-	return nil
 }
 
 func (s *sender) process() *process {
@@ -231,6 +248,7 @@
 	defer s.serving.Unlock()
 	o := s.run.ledger.goes(s.number, planned)
 	s.end(s.process(), planned)
+	s.agent.askedFrom(never)
 	s.run.ledger.gone(s.number, o)
 	for _, d := range s.run.destinations {
 		d.forget(s.number)
@@ -241,7 +259,7 @@
 		s.run.fail(err)
 		return
 	}
-	s.agent.reached(s.run.ledger.now())
+	s.agent.askedFrom(s.run.ledger.now())
 	s.mu.Lock()
 	s.cmd = p
 	s.mu.Unlock()
--- a/internal/soak/run.go
+++ b/internal/soak/run.go
@@ -71,15 +71,6 @@
 			return nil, err
 		}
 	}
-	var starts sync.WaitGroup
-	for _, s := range r.senders {
-		starts.Go(func() {
-			if err := s.begin(); err != nil {
-				r.fail(err)
-			}
-		})
-	}
-	starts.Wait()
 	traffic, stop := context.WithTimeout(ctx, sc.Length-r.ledger.now())
 	defer stop()
 	watch, unwatch := context.WithCancel(ctx)
@@ -89,7 +80,10 @@
 	var busy sync.WaitGroup
 	for _, s := range r.senders {
 		c := newClients(s)
-		busy.Go(func() { c.play(traffic) })
+		busy.Go(func() {
+			s.begin()
+			c.play(traffic)
+		})
 	}
 	for _, t := range sc.Troubles {
 		busy.Go(func() {
