--- a/internal/node/loop.go
+++ b/internal/node/loop.go
@@ -375,6 +375,10 @@
 			n.notices.add(*e.End)
 			continue
 		}
+		if _, known := n.cfg.Classes[e.Class]; !known {
+			n.endUnknown(e)
+			continue
+		}
 		n.held[e.ID] = &held{msg: &e.Message, tries: e.Tries, trail: trail{came: time.Now()}}
 		n.open++
 		c := n.callOf(&e.Message, now)
@@ -389,6 +393,17 @@
 	}
 }
 
+// endUnknown ends a message whose class the settings do not name any more.
+func (n *Node) endUnknown(e *Entry) {
+	x := Notice{ID: e.ID, State: noticeReturned}
+	if e.MayRun || e.Open {
+		x.State = noticeFailed
+	}
+	n.log.Warn("message of an unknown class", "id", e.ID, "class", e.Class, "end", x.State)
+	n.records = append(n.records, record{Op: opEnd, ID: e.ID, Notice: &x})
+	n.unsaid = append(n.unsaid, unsaid{x, e.Deadline})
+}
+
 // callOf is the module's view of a message.
 func (n *Node) callOf(m *Message, now int64) logic.Call {
 	c := logic.Call{ID: m.ID, Key: m.Order, Left: logic.Micros(m.Deadline - now), Dest: m.Dest, Tenant: -1, Class: n.cfg.Classes[m.Class]}
