--- a/internal/node/notices_test.go
+++ b/internal/node/notices_test.go
@@ -10,7 +10,9 @@
 	"net/http"
 	"net/http/httptest"
 	"strings"
+	"sync/atomic"
 	"testing"
+	"time"
 )
 
 // A body holds 64 KiB: more notices than that go in several, in order, and each is confirmed once.
@@ -74,3 +76,29 @@
 		t.Errorf("notice %+v", x)
 	}
 }
+
+// A connection that falls silent must not hold an end up past the 0.3 s that it may be late.
+func TestNoticeOverASilentConnection(t *testing.T) {
+	var first atomic.Bool
+	heard := make(chan time.Time, 8)
+	silent := make(chan struct{})
+	srv := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if first.CompareAndSwap(false, true) {
+			<-silent
+			return
+		}
+		heard <- time.Now()
+		w.WriteHeader(http.StatusNoContent)
+	}))
+	defer srv.Close()
+	defer close(silent)
+	events := make(chan any, 8)
+	q := newNotices(strings.TrimPrefix(srv.URL, "http://"), slog.New(slog.DiscardHandler), events)
+	go q.run(t.Context())
+	begun := time.Now()
+	q.add(Notice{ID: "a", State: noticeFailed})
+	if took := await(t, heard, "notice").Sub(begun); took > 300*time.Millisecond {
+		t.Errorf("told after %v", took)
+	}
+	await(t, events, "confirmation")
+}
