Send a notice again after 0.15 s without an answer, and wait longer each time after that

Cause: a post was given 1 s, so one whose connection fell silent came too late for a message that had ended at its time. The platform answers at once and a second notice does no harm.

--- a/internal/node/notices.go
+++ b/internal/node/notices.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"context"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"io"
 	"log/slog"
@@ -15,7 +16,8 @@
 )
 
 const (
-	noticeTime  = time.Second            // for the platform's answer, which comes at once if it comes
+	noticeTime  = time.Second            // for the platform's answer, at most ...
+	noticeFirst = 150 * time.Millisecond // ... and at first: it comes at once if it comes, and an end may be 0.3 s late
 	noticePause = 100 * time.Millisecond // before notices that were not confirmed are sent again
 	maxNotices  = 64 << 10               // bytes in one body
 )
@@ -79,8 +81,9 @@
 func (q *notices) run(ctx context.Context) {
 	defer q.client.CloseIdleConnections()
 	failing := false // logged once for a row of failures
+	patience := noticeFirst
 	for {
-		n, err := q.send(ctx)
+		n, err := q.send(ctx, patience)
 		switch {
 		case ctx.Err() != nil:
 			return
@@ -89,10 +92,13 @@
 				q.log.Warn("notices", "err", err)
 			}
 			failing = true
-			pause(ctx, jitter(noticePause))
+			patience = min(2*patience, noticeTime)
+			if !errors.Is(err, context.DeadlineExceeded) { // that was pause enough
+				pause(ctx, jitter(noticePause))
+			}
 			continue
 		case n > 0:
-			failing = false
+			failing, patience = false, noticeFirst
 			ids := q.confirmed(n)
 			select {
 			case q.events <- noticedEvent{ids}:
@@ -109,9 +115,9 @@
 	}
 }
 
-// send posts the oldest notices, as many as a body holds, and says how many that were.
-func (q *notices) send(ctx context.Context) (int, error) {
-	ctx, stop := context.WithTimeout(ctx, noticeTime)
+// send posts the oldest notices, as many as a body holds, and says how many that were. It waits so long for the answer.
+func (q *notices) send(ctx context.Context, patience time.Duration) (int, error) {
+	ctx, stop := context.WithTimeout(ctx, patience)
 	defer stop()
 	q.mu.Lock()
 	var body []byte
