--- a/internal/node/loop.go
+++ b/internal/node/loop.go
@@ -305,7 +305,7 @@
 	var served, stopped <-chan struct{} // while shutting down
 	quiet := false                      // shutting down, and no client is left
 	for {
-		if quiet && n.open == 0 && len(n.journal.entries) == 0 {
+		if quiet && n.open == 0 && len(n.journal.entries) == 0 && n.journal.Settled() {
 			n.log.Info("stopped", "owed", 0)
 			return false
 		}
--- a/internal/node/record.go
+++ b/internal/node/record.go
@@ -13,6 +13,9 @@
 
 // record appends to the journal, and what it lacks before that. Then ends that waited for it are told.
 func (n *Node) record(records []record) error {
+	if len(records) == 0 && n.journal.Settled() {
+		return nil
+	}
 	err := n.journal.Append(records)
 	n.failing.note(err)
 	n.tell()
--- a/internal/soak/process.go
+++ b/internal/soak/process.go
@@ -34,7 +34,8 @@
 	dir     string
 	listen  string
 	agent   *agent
-	serving sync.Mutex // held by what moves the process
+	serving sync.Mutex    // held by what moves the process
+	begun   chan struct{} // closed once there is a process, or there will be none
 
 	mu    sync.Mutex
 	cmd   *process
@@ -203,6 +204,7 @@
 func (s *sender) begin() {
 	s.serving.Lock()
 	defer s.serving.Unlock()
+	defer close(s.begun)
 	p, err := s.start()
 	if err != nil {
 		s.run.fail(err)
--- a/internal/soak/run.go
+++ b/internal/soak/run.go
@@ -95,6 +95,9 @@
 	busy.Wait()
 	rest(ctx, r.drainTime())
 	for _, s := range r.senders {
+		if s.process() == nil { // it could not be started, which is an error of the run
+			continue
+		}
 		if said := s.process().violations(); said != "" {
 			r.ledger.broken(RuleInside, s.number, "%s", strings.TrimSpace(said))
 		}
@@ -141,7 +144,7 @@
 		if err != nil {
 			return err
 		}
-		s := &sender{number: i, run: r, dir: filepath.Join(r.opt.Dir, fmt.Sprint("n", i)), listen: listen, agent: a}
+		s := &sender{number: i, run: r, dir: filepath.Join(r.opt.Dir, fmt.Sprint("n", i)), listen: listen, agent: a, begun: make(chan struct{})}
 		r.senders = append(r.senders, s)
 		if err := s.prepare(); err != nil {
 			return err
@@ -208,6 +211,12 @@
 // happen plays a trouble. Those of the system calls are in the plans of the processes.
 func (r *run) happen(ctx context.Context, t Trouble) {
 	span := t.To - t.From
+	if slices.Contains(processKinds, t.Kind) {
+		s := r.senders[t.Sender]
+		if <-s.begun; s.process() == nil {
+			return
+		}
+	}
 	switch t.Kind {
 	case Kill:
 		r.senders[t.Sender].restart(false)
