Test that what never left the process uses up no attempt, whatever its class

Ten times Unsent with two attempts allowed: sent again each time, the endpoint is not ejected, and an unsafe message that then may have run fails. Failing accepts at the operators' address are logged once for a row.

--- a/internal/node/admin.go
+++ b/internal/node/admin.go
@@ -65,13 +65,14 @@
 			conn.Close()
 		}
 	})()
+	failing := failures{log: a.log, what: "operators: accept"}
 	for {
 		conn, err := ln.Accept()
+		if errors.Is(err, net.ErrClosed) {
+			return
+		}
+		failing.note(err)
 		if err != nil {
-			if errors.Is(err, net.ErrClosed) {
-				return
-			}
-			a.log.Warn("operators: accept", "err", err)
 			pause(ctx, acceptPause)
 			continue
 		}
--- a/logic/mechanism_test.go
+++ b/logic/mechanism_test.go
@@ -861,3 +861,30 @@
 		}
 	}
 }
+
+// What never left this process may come back any number of times: it uses up no attempt, and says nothing of the
+// endpoint.
+func TestUnsentCountsAsNoAttempt(t *testing.T) {
+	set := base()
+	set.MaxTries = 2
+	for class := range set.Classes {
+		r := newRig(t, set)
+		r.step(0, list(1))
+		acts := r.step(1, r.call(class))
+		for i := range 10 {
+			calls := only[CallOut](acts)
+			if len(calls) != 1 || len(only[Refuse](acts))+len(only[Fail](acts)) > 0 {
+				t.Fatalf("class %d, time %d: %v", class, i, acts)
+			}
+			acts = r.step(1.2+0.2*float64(i), answer(calls[0].ID, calls[0].Endpoint, 0, Unsent))
+		}
+		if r.s.OutOfRotation() != 0 {
+			t.Errorf("class %d: the endpoint was ejected", class)
+		}
+		id := only[CallOut](acts)[0].ID
+		acts = r.step(4, answer(id, 1, 0, Errored))
+		if class == 2 && len(only[Fail](acts)) != 1 {
+			t.Errorf("an unsafe message that may have run did not fail: %v", acts)
+		}
+	}
+}
