--- a/internal/node/faults_test.go
+++ b/internal/node/faults_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"io"
 	"net"
 	"os"
 	"os/exec"
@@ -407,3 +408,52 @@
 		})
 	}
 }
+
+// A write that stops half way may leave whole records behind: what was refused with it must not be among them.
+func TestRefusedIsNotLeftInTheFile(t *testing.T) {
+	for i := range 16 { // where the write stops is a matter of chance
+		t.Run(fmt.Sprint(i), func(t *testing.T) {
+			t.Parallel()
+			refuseHalfWritten(t)
+		})
+	}
+}
+
+func refuseHalfWritten(t *testing.T) {
+	p, e, dir := newPlatform(t), newEndpoint(t), t.TempDir()
+	known := List{Generation: 1, Reset: true, Instances: instances(e)}
+	p.list = known
+	now := planTime()
+	state := func(call string, errno syscall.Errno, most int, chance float64) faultinject.Fault {
+		return faultinject.Fault{Call: call, On: faultinject.StateFiles, Errno: errno, Most: most, Chance: chance,
+			From: now + 400*time.Millisecond, To: now + time.Minute}
+	}
+	x := startFaulty(t, p, dir, configText(p, known), faultinject.Plan{Faults: []faultinject.Fault{
+		state("pwrite", 0, 400, 1), state("pwrite", syscall.ENOSPC, 0, 0.5), state("open", syscall.EIO, 0, 1)}})
+	x.addr = await(t, x.ready, "ready program")
+	c := dial(t, x.addr)
+	c.putFor("first", "safe", 16000, "+OK")
+	await(t, e.calls, "call").reply(429, "X-Come-Back-Ms: 60000")
+	for faultinject.Now() < now+500*time.Millisecond {
+		time.Sleep(10 * time.Millisecond)
+	}
+	refused := map[string]bool{}
+	var batch strings.Builder // sent at once: several records in one write
+	const many = 6
+	for i := range many {
+		id := fmt.Sprint("m-", i)
+		opts := "c=unsafe,d=16000,dest=1"
+		fmt.Fprintf(&batch, "*5\r\n$7\r\nMSG.PUT\r\n$1\r\n0\r\n$%d\r\n%s\r\n$%d\r\n%s\r\n$1\r\nx\r\n", len(id), id, len(opts), opts)
+	}
+	io.WriteString(c.conn, batch.String())
+	for i := range many {
+		refused[fmt.Sprint("m-", i)] = strings.HasPrefix(c.line(), "-BUSY")
+	}
+	x.kill()
+	j := openJournal(t, dir, 3e6)
+	for id, busy := range refused {
+		if busy && j.Entry(id) != nil {
+			t.Errorf("%s was refused and stands in the file", id)
+		}
+	}
+}
