--- a/internal/node/journal.go
+++ b/internal/node/journal.go
@@ -364,9 +364,9 @@
 	if j.size+int64(len(b)) > j.limit {
 		return errFull
 	}
-	if n, err := j.file.WriteAt(b, j.size); err != nil {
+	if _, err := j.file.WriteAt(b, j.size); err != nil {
 		// What was written in part must not stand before later records, and what of it is whole must not count.
-		j.torn = n > 0
+		j.torn = true // WriteAt does not count what its last write moved before the error
 		if cut := j.cutBack(); cut != nil {
 			return errors.Join(err, errUncertain, cut)
 		}
