Have the soak's restarts meet clock steps, failing disks and outages more often

Mended in the oracle too: a 200 that was written counts as delivered also where the connection was seen to end first (one message taken for lost).

--- a/internal/soak/ledger.go
+++ b/internal/soak/ledger.go
@@ -263,14 +263,14 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	for i, a := range list {
+		m := messages[i]
+		if delivered && m.over == 0 { // also if the end of the connection was seen first
+			m.over = l.now()
+		}
 		if a.ended != 0 {
 			continue
 		}
 		a.ended, a.neverRan = l.now(), neverRan
-		m := messages[i]
-		if delivered && m.over == 0 {
-			m.over = a.ended
-		}
 		if !neverRan {
 			l.checkRefused(m)
 		}
--- a/internal/soak/scenario.go
+++ b/internal/soak/scenario.go
@@ -172,11 +172,48 @@
 			sc.Troubles = append(sc.Troubles, y)
 		}
 	}
+	sc.addCompanions(r, only)
 	slices.SortFunc(sc.Troubles, func(a, b Trouble) int { return int(a.From - b.From) })
 	sc.Troubles = sc.separate()
 	return sc
 }
 
+// addCompanions puts beside restarts what they most often meet in a fault: a step of the wall clock, a disk that fails, and
+// a destination that is out, so that there is something to lose.
+func (sc *Scenario) addCompanions(r *rand.Rand, only []Kind) {
+	add := func(t Trouble) {
+		if len(only) == 0 || slices.Contains(only, t.Kind) {
+			t.From = max(t.From, 0)
+			sc.Troubles = append(sc.Troubles, t)
+		}
+	}
+	for _, x := range slices.Clone(sc.Troubles) {
+		if x.Kind != Kill && x.Kind != KillTwice && x.Kind != Stop && x.Kind != Upgrade {
+			continue
+		}
+		if r.IntN(2) == 0 {
+			at := x.From + time.Duration(r.IntN(600))*time.Millisecond
+			add(Trouble{Kind: WallClock, From: at, To: at + time.Second, Sender: x.Sender, Destination: -1, Offset: drawOffset(r)})
+		}
+		if r.IntN(2) == 0 {
+			kind := []Kind{DiskFull, DiskErrors, ShortWrites, ReadErrors}[r.IntN(4)]
+			from := x.From - time.Duration(r.IntN(1500))*time.Millisecond
+			add(Trouble{Kind: kind, From: from, To: from + 2*time.Second, Sender: x.Sender, Destination: -1})
+		}
+		if r.IntN(3) == 0 {
+			kind := []Kind{Refusing, Silent, Shut}[r.IntN(3)]
+			from := x.From - time.Second
+			add(Trouble{Kind: kind, From: from, To: from + 4*time.Second, Sender: -1, Destination: r.IntN(sc.Destinations)})
+		}
+	}
+}
+
+// drawOffset draws how far a wall clock is stepped.
+func drawOffset(r *rand.Rand) time.Duration {
+	offsets := []time.Duration{-time.Hour, time.Hour, -5 * time.Second, 5 * time.Second, -700 * time.Millisecond, 30 * time.Minute}
+	return offsets[r.IntN(len(offsets))]
+}
+
 // trouble draws one.
 func (sc *Scenario) trouble(r *rand.Rand, only []Kind) Trouble {
 	groups := []string{"process", "process", "process", "system", "system", "system", "destination", "destination", "discovery", "client"}
@@ -199,8 +236,7 @@
 			t.Sender = r.IntN(sc.Senders)
 		}
 		if t.Kind == WallClock {
-			t.Offset = []time.Duration{-time.Hour, time.Hour, -5 * time.Second, 5 * time.Second, -700 * time.Millisecond,
-				30 * time.Minute}[r.IntN(6)]
+			t.Offset = drawOffset(r)
 			t.To = t.From + time.Second
 		}
 		return t
