--- a/internal/node/crossing_test.go
+++ b/internal/node/crossing_test.go
@@ -275,9 +275,7 @@
 // A client may send on and on until its connection is closed, also while the sender shuts down. Each request that is read
 // has its answer, and what is sent on, or left for the next start, has been taken on by that answer.
 func TestFloodAcrossShutdown(t *testing.T) {
-	p, e, dir := newPlatform(t), newEndpoint(t), t.TempDir()
-	known := List{Generation: 1, Reset: true, Instances: instances(e)}
-	p.list = known
+	p, e, dir, known := oneEndpoint(t)
 	x := startProcess(t, p, dir, known)
 	sent := make(chan string, 1<<16)
 	stop := make(chan struct{})
--- a/internal/node/faults_test.go
+++ b/internal/node/faults_test.go
@@ -96,9 +96,7 @@
 	for _, offset := range []time.Duration{time.Hour, -time.Hour} {
 		t.Run(offset.String(), func(t *testing.T) {
 			t.Parallel()
-			p, e, dir := newPlatform(t), newEndpoint(t), t.TempDir()
-			known := List{Generation: 1, Reset: true, Instances: instances(e)}
-			p.list = known
+			p, e, dir, known := oneEndpoint(t)
 			x := startProcess(t, p, dir, known)
 			ids := takeOn(t, x, e, 16000, 6)
 			x.kill()
@@ -138,9 +136,7 @@
 
 // A read that fails for a moment is no torn end: what stands behind it is owed all the same.
 func TestReadErrorAtAStartLosesNothing(t *testing.T) {
-	p, e, dir := newPlatform(t), newEndpoint(t), t.TempDir()
-	known := List{Generation: 1, Reset: true, Instances: instances(e)}
-	p.list = known
+	p, e, dir, known := oneEndpoint(t)
 	x := startProcess(t, p, dir, known)
 	ids := takeOn(t, x, e, 16000, 6)
 	x.kill()
@@ -165,9 +161,7 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
-			p, e, dir := newPlatform(t), newEndpoint(t), t.TempDir()
-			known := List{Generation: 1, Reset: true, Instances: instances(e)}
-			p.list = known
+			p, e, dir, known := oneEndpoint(t)
 			x := startProcess(t, p, dir, known)
 			ids := takeOn(t, x, e, 16000, 2)
 			x.kill()
@@ -195,20 +189,9 @@
 	return faults
 }
 
-// said joins what a process has logged so far.
-func (x *process) logged() string {
-	var b strings.Builder
-	for line := range x.lines() {
-		b.WriteString(line + "\n")
-	}
-	return b.String()
-}
-
 // A write that fails says nothing of the next one: appends go on as soon as they work, though files can't be made yet.
 func TestAppendsGoOnAfterAFailure(t *testing.T) {
-	p, e, dir := newPlatform(t), newEndpoint(t), t.TempDir()
-	known := List{Generation: 1, Reset: true, Instances: instances(e)}
-	p.list = known
+	p, e, dir, known := oneEndpoint(t)
 	now := planTime()
 	later := now + 500*time.Millisecond
 	var faults []faultinject.Fault
@@ -260,9 +243,7 @@
 // What is returned may be handed in again, so no later process may send it: the journal has its end before the platform
 // is told, or its time is up.
 func TestReturnedIsNeverSentByTheNextProcess(t *testing.T) {
-	p, e, dir := newPlatform(t), newEndpoint(t), t.TempDir()
-	known := List{Generation: 1, Reset: true, Instances: instances(e)}
-	p.list = known
+	p, e, dir, known := oneEndpoint(t)
 	now := planTime()
 	x := startFaulty(t, p, dir, configText(p, known), faultinject.Plan{Faults: []faultinject.Fault{{Call: "pwrite", On: faultinject.StateFiles,
 		Errno: syscall.EIO, From: now + 2500*time.Millisecond, To: now + time.Minute, Chance: 1}}})
@@ -307,9 +288,7 @@
 
 // A wait that a signal interrupts says nothing of the connection: it stays, and what comes on it is answered.
 func TestInterruptedWaitsCloseNothing(t *testing.T) {
-	p, e, dir := newPlatform(t), newEndpoint(t), t.TempDir()
-	known := List{Generation: 1, Reset: true, Instances: instances(e)}
-	p.list = known
+	p, e, dir, known := oneEndpoint(t)
 	now := planTime()
 	x := startFaulty(t, p, dir, configText(p, known), faultinject.Plan{Faults: []faultinject.Fault{{Call: "receive",
 		Errno: syscall.EINTR, From: now, To: now + time.Minute, Chance: 0.5}}})
@@ -327,9 +306,7 @@
 	for _, errno := range []syscall.Errno{syscall.ENFILE, syscall.ENOBUFS, syscall.EHOSTUNREACH, syscall.ECONNABORTED} {
 		t.Run(errno.Error(), func(t *testing.T) {
 			t.Parallel()
-			p, e, dir := newPlatform(t), newEndpoint(t), t.TempDir()
-			known := List{Generation: 1, Reset: true, Instances: instances(e)}
-			p.list = known
+			p, e, dir, known := oneEndpoint(t)
 			now := planTime()
 			x := startFaulty(t, p, dir, configText(p, known), faultinject.Plan{Faults: []faultinject.Fault{{Call: "accept",
 				Errno: errno, From: now + 700*time.Millisecond, To: now + 1700*time.Millisecond, Chance: 0.9}}})
@@ -356,9 +333,7 @@
 	for name, closed := range map[string]bool{"reader stalls": false, "reader is gone": true} {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
-			p, e, dir := newPlatform(t), newEndpoint(t), t.TempDir()
-			known := List{Generation: 1, Reset: true, Instances: instances(e)}
-			p.list = known
+			p, _, dir, known := oneEndpoint(t)
 			path, err := program()
 			if err != nil {
 				t.Fatal(err)
@@ -420,9 +395,7 @@
 }
 
 func refuseHalfWritten(t *testing.T) {
-	p, e, dir := newPlatform(t), newEndpoint(t), t.TempDir()
-	known := List{Generation: 1, Reset: true, Instances: instances(e)}
-	p.list = known
+	p, e, dir, known := oneEndpoint(t)
 	now := planTime()
 	state := func(call string, errno syscall.Errno, most int, chance float64) faultinject.Fault {
 		return faultinject.Fault{Call: call, On: faultinject.StateFiles, Errno: errno, Most: most, Chance: chance,
--- a/internal/node/harness_test.go
+++ b/internal/node/harness_test.go
@@ -233,6 +233,15 @@
 	return out
 }
 
+// oneEndpoint is a platform that lists one endpoint, a folder for a sender, and the list that its configuration has.
+func oneEndpoint(t *testing.T) (p *platform, e *endpoint, dir string, known List) {
+	t.Helper()
+	p, e = newPlatform(t), newEndpoint(t)
+	known = List{Generation: 1, Reset: true, Instances: instances(e)}
+	p.list = known
+	return p, e, t.TempDir(), known
+}
+
 // settings are those of the tests: one class of each effect.
 const settings = `{"balancers":1,"me":0,"zone":0,"zones":["a","b"],"tick_s":0.005,"membership_mode":"on_request",
 "weights":"nominal","over_share_worth":0.2,"machine_types":["std"],
--- a/internal/node/journal_test.go
+++ b/internal/node/journal_test.go
@@ -206,9 +206,7 @@
 
 // A class that the settings do not name any more must not turn into another one: what may have run of it fails.
 func TestUnknownClassInTheJournal(t *testing.T) {
-	p, e, dir := newPlatform(t), newEndpoint(t), t.TempDir()
-	known := List{Generation: 1, Reset: true, Instances: instances(e)}
-	p.list = known
+	p, e, dir, known := oneEndpoint(t)
 	j := openJournal(t, dir, 3e6)
 	for _, id := range []string{"ran", "waits"} {
 		mustAppend(t, j, record{Op: opAccept, Entry: &Entry{Message: Message{ID: id, Class: "forgotten", Dest: 1,
--- a/internal/node/process_test.go
+++ b/internal/node/process_test.go
@@ -136,9 +136,7 @@
 // A crash with a call out: it may have run. Nothing is handed in again, so the sender itself must send it again
 // where that is harmless, and must not where it is not.
 func TestKillWithCallOut(t *testing.T) {
-	p, e, dir := newPlatform(t), newEndpoint(t), t.TempDir()
-	known := List{Generation: 1, Reset: true, Instances: instances(e)}
-	p.list = known
+	p, e, dir, known := oneEndpoint(t)
 	x := startProcess(t, p, dir, known)
 	c := dial(t, x.addr)
 	for _, class := range []string{"safe", "keyed", "unsafe"} {
@@ -169,9 +167,7 @@
 
 // Attempts before a crash count: a message that brings the process down each time must not come for ever.
 func TestKillCountsAttempts(t *testing.T) {
-	p, e, dir := newPlatform(t), newEndpoint(t), t.TempDir()
-	known := List{Generation: 1, Reset: true, Instances: instances(e)}
-	p.list = known
+	p, e, dir, known := oneEndpoint(t)
 	for i := range 3 { // max_attempts
 		x := startProcess(t, p, dir, known)
 		if i == 0 {
@@ -195,9 +191,7 @@
 	for name, stop := range map[string]func(*process){"kill": (*process).kill, "term": func(x *process) { x.term(); x.end() }} {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
-			p, e, dir := newPlatform(t), newEndpoint(t), t.TempDir()
-			known := List{Generation: 1, Reset: true, Instances: instances(e)}
-			p.list = known
+			p, e, dir, known := oneEndpoint(t)
 			x := startProcess(t, p, dir, known)
 			c := dial(t, x.addr)
 			c.putFor("first", "unsafe", 16000, "+OK")
@@ -234,9 +228,7 @@
 
 // A journal that is damaged is read up to the damage; the log says so, and the sender serves.
 func TestDamagedJournal(t *testing.T) {
-	p, e, dir := newPlatform(t), newEndpoint(t), t.TempDir()
-	known := List{Generation: 1, Reset: true, Instances: instances(e)}
-	p.list = known
+	p, e, dir, known := oneEndpoint(t)
 	x := startProcess(t, p, dir, known)
 	dial(t, x.addr).put("whole", "safe", "+OK")
 	await(t, e.calls, "call")
@@ -345,9 +337,7 @@
 	for _, class := range []string{"safe", "keyed", "unsafe"} {
 		t.Run(class, func(t *testing.T) {
 			t.Parallel()
-			p, e, dir := newPlatform(t), newEndpoint(t), t.TempDir()
-			known := List{Generation: 1, Reset: true, Instances: instances(e)}
-			p.list = known
+			p, e, dir, known := oneEndpoint(t)
 			x := startProcess(t, p, dir, known)
 			c := dial(t, x.addr)
 			c.put("a", class, "+OK")
@@ -370,9 +360,7 @@
 
 // A call that does not end must not keep the program from ending in time; it stays in the journal as open.
 func TestTermWithSilentCall(t *testing.T) {
-	p, e, dir := newPlatform(t), newEndpoint(t), t.TempDir()
-	known := List{Generation: 1, Reset: true, Instances: instances(e)}
-	p.list = known
+	p, e, dir, known := oneEndpoint(t)
 	x := startProcess(t, p, dir, known)
 	dial(t, x.addr).put("a", "unsafe", "+OK")
 	await(t, e.calls, "call")
