--- a/internal/soak/agent.go
+++ b/internal/soak/agent.go
@@ -113,6 +113,8 @@
 	upSince time.Duration // when it could last be reached again
 
 	askedSince time.Duration // when the process was started
+	slowSince  time.Duration // when it last began to be slow, and until when
+	slowUntil  time.Duration
 }
 
 func newAgent(sender int, l *Ledger, r *registry) (*agent, error) {
@@ -169,6 +171,12 @@
 func (a *agent) turn(mode Kind) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
+	switch {
+	case mode == DiscoverySlow:
+		a.slowSince, a.slowUntil = a.ledger.now(), never
+	case a.mode == DiscoverySlow:
+		a.slowUntil = a.ledger.now() + slowList
+	}
 	a.mode = mode
 	close(a.changed)
 	a.changed = make(chan struct{})
@@ -177,6 +185,9 @@
 	}
 }
 
+// slowList is what a slow list takes to come.
+const slowList = 700 * time.Millisecond
+
 // never is a time past every run.
 const never = time.Duration(math.MaxInt64 / 2)
 
@@ -235,7 +246,7 @@
 		if f, ok := w.(http.Flusher); ok {
 			f.Flush()
 		}
-		time.Sleep(700 * time.Millisecond)
+		time.Sleep(slowList)
 		text = text[half:]
 	}
 	w.Write(text)
@@ -264,7 +275,7 @@
 // counts notes what counts as told though it may not have been written. It is called now and then.
 func (a *agent) counts(moved time.Duration) {
 	a.mu.Lock()
-	mode, up := a.mode, max(a.upSince, a.askedSince)
+	mode, up, slowSince, slowUntil := a.mode, max(a.upSince, a.askedSince), a.slowSince, a.slowUntil
 	a.mu.Unlock()
 	if mode == DiscoveryDown {
 		return
@@ -274,7 +285,7 @@
 	defer a.registry.mu.Unlock()
 	for _, d := range a.registry.ends {
 		at := max(d.at, up)
-		if !a.pushed {
+		if !a.pushed || at >= slowSince-slowList && at < slowUntil { // one list after the other may be slow
 			at += toldAtLatest
 		}
 		if moved != 0 {
