Deny without a violation what was decided in time and has become too late to send

It holds a send against the time of its decision for the count, and against now for the denial; the record of a send bears the time of the decision too, so that a window never counts from later than that. TestPermitsDenyWhatHasBecomeTooLate.

--- a/internal/node/loop.go
+++ b/internal/node/loop.go
@@ -103,6 +103,7 @@
 	records []record
 	calling []outgoing // calls of the step at hand
 	clock   *clock.Lasting
+	decided int64 // when the step at hand began, on the clock
 	permits *permits
 	unsaid  []unsaid    // ends that the journal has not got yet
 	flush   *time.Timer // tries again to write what the journal has not got
@@ -657,6 +658,7 @@
 func (n *Node) step(work context.Context) {
 	events := n.next
 	n.next = nil
+	n.decided = n.clock.Now()
 	actions := n.sender.Step(micros(time.Since(n.start)), events)
 	answers := n.answers(actions)
 	for i, p := range n.puts {
@@ -665,11 +667,10 @@
 			n.records = append(n.records, record{Op: opAccept, Entry: &Entry{Message: m}})
 		}
 	}
-	now := n.clock.Now()
 	for _, a := range actions {
 		switch a := a.(type) {
 		case logic.CallOut:
-			n.records = append(n.records, record{Op: opSend, ID: a.ID, At: now, Zone: n.dir.eps[a.Endpoint].zone})
+			n.records = append(n.records, record{Op: opSend, ID: a.ID, At: n.decided, Zone: n.dir.eps[a.Endpoint].zone})
 		case logic.Refuse, logic.Fail:
 			x := noticeOf(a)
 			if answers[x.ID] == "" && n.journal.Entry(x.ID) != nil {
--- a/internal/node/permit.go
+++ b/internal/node/permit.go
@@ -64,17 +64,22 @@
 	log.Error("violation", append([]any{"rule", string(v), "id", id}, more...)...)
 }
 
-// send says whether a message may go to an endpoint.
+// send says whether a message may go to an endpoint. What was right when it was decided and has come too late since, by
+// a slow write to the journal say, is denied and no violation.
 func (p *permits) send(h *held, ep logic.EndpointID) bool {
-	v := p.checkSend(h, ep)
-	if v == noViolation {
-		return true
+	if v := p.checkSend(h, ep, p.node.decided); v != noViolation {
+		report(p.node.log, p.node.figures, v, h.msg.ID, "endpoint", ep, "attempt", h.tries)
+		return false
 	}
-	report(p.node.log, p.node.figures, v, h.msg.ID, "endpoint", ep, "attempt", h.tries)
-	return false
+	v := p.checkSend(h, ep, p.node.clock.Now())
+	if v != noViolation {
+		p.node.log.Info("not sent", "id", h.msg.ID, "endpoint", ep, "why", string(v))
+	}
+	return v == noViolation
 }
 
-func (p *permits) checkSend(h *held, ep logic.EndpointID) violation {
+// checkSend holds a send at a time against the rules.
+func (p *permits) checkSend(h *held, ep logic.EndpointID, now int64) violation {
 	n := p.node
 	to, known := n.dir.eps[ep]
 	e := n.journal.Entry(h.msg.ID)
@@ -98,14 +103,14 @@
 		return waitTold
 	case set.MaxTries > 0 && h.tries >= set.MaxTries:
 		return triesUsedUp
-	case n.clock.Now() >= h.msg.Deadline:
+	case now >= h.msg.Deadline:
 		return timeUp
 	}
-	return p.checkRepeat(e, to.zone)
+	return p.checkRepeat(e, to.zone, now)
 }
 
 // checkRepeat holds a further attempt against what an earlier one may have done.
-func (p *permits) checkRepeat(e *Entry, zone int) violation {
+func (p *permits) checkRepeat(e *Entry, zone int, now int64) violation {
 	c := p.node.cfg.classOf(&e.Message)
 	switch {
 	case !e.MayRun:
@@ -114,7 +119,7 @@
 		return repeatUnsafe
 	case c.Effect == logic.Keyed && c.ByZone && zone != e.FirstZone:
 		return repeatElse
-	case c.Effect == logic.Keyed && p.node.clock.Now() > e.FirstMay+int64(c.Window):
+	case c.Effect == logic.Keyed && now > e.FirstMay+int64(c.Window):
 		return repeatLate
 	}
 	return noViolation
--- a/internal/node/permit_test.go
+++ b/internal/node/permit_test.go
@@ -45,6 +45,7 @@
 		entry := n.journal.Entry(id)
 		h := &held{msg: &entry.Message}
 		x.spoil(n, h, entry)
+		n.decided = n.clock.Now()
 		if got := n.permits.send(h, 1); got != (x.rule == noViolation) {
 			t.Errorf("%q: permitted %v", x.rule, got)
 		}
@@ -54,6 +55,22 @@
 	}
 }
 
+// What was decided in time and has become too late since is not sent, and breaks no rule.
+func TestPermitsDenyWhatHasBecomeTooLate(t *testing.T) {
+	n := quietNode(t, newEndpoint(t))
+	h := takenOn(t, n, Message{ID: "m", Class: "keyed", Dest: 1})
+	e := n.journal.Entry("m")
+	window := int64(n.cfg.classOf(h.msg).Window)
+	e.MayRun, e.FirstMay = true, n.clock.Now()-window-1
+	n.decided = e.FirstMay + window - 1
+	if n.permits.send(h, 1) {
+		t.Error("permitted after the window")
+	}
+	if !strings.Contains(n.figures.text(), figurePrefix+"violations=0\n") {
+		t.Errorf("counted:\n%s", n.figures.text())
+	}
+}
+
 // A promise that a message may be handed in again is checked, and so is its time.
 func TestPermitsCheckEnds(t *testing.T) {
 	n := quietNode(t, newEndpoint(t))
