--- a/internal/node/faults_test.go
+++ b/internal/node/faults_test.go
@@ -430,3 +430,40 @@
 		}
 	}
 }
+
+// A process that stood by and takes over without a handover is the same sender: what the one before was told of an
+// endpoint holds for it, and its own list may be old.
+func TestTakeOverWithoutHandoverHeedsTheList(t *testing.T) {
+	p, dir := newPlatform(t), t.TempDir()
+	stays, drains := newEndpoint(t), newEndpoint(t)
+	old := List{Generation: 1, Reset: true, Instances: instances(stays, drains)}
+	p.list = old
+	text := []byte(strings.Replace(string(configText(p, old)), `"on_request"`, `"pushed"`, 1))
+	x := execProcess(t, p, dir, text)
+	x.admin, x.addr = await(t, x.asked, "operators' address"), await(t, x.ready, "ready program")
+	p.set(func() {
+		news := instances(stays, drains)
+		news[1].Lifecycle = "draining"
+		p.list = List{Generation: 2, Instances: news[1:]}
+	})
+	x.says("generation=2")
+	ids := takeOn(t, x, stays, 16000, 6)
+	next := execProcess(t, p, dir, text)
+	next.says("stands by")
+	p.set(func() { p.silent = true })
+	x.kill()
+	time.AfterFunc(200*time.Millisecond, func() { p.set(func() { p.silent = false }) })
+	await(t, next.ready, "ready program")
+	for left := len(ids); left > 0; {
+		select {
+		case in := <-stays.calls:
+			in.reply(200)
+			left--
+		case in := <-drains.calls:
+			t.Fatalf("%s sent to an endpoint that drains", in.id())
+		case <-time.After(patience):
+			t.Fatalf("%d messages are not sent", left)
+		}
+	}
+	next.kill()
+}
