Wait for the list where a process takes over without a handover

Cause: such a process took its first step by the list of its configuration, which may be old; the sender that it goes on for had been told more. Where an agent of our own has the list at once it waits for that first, 0.5 s at most; a first process does not.

--- a/internal/node/loop.go
+++ b/internal/node/loop.go
@@ -20,6 +20,7 @@
 	stopAll    = 3400 * time.Millisecond // and the process must be gone soon after this
 	sweepEvery = time.Second
 	retryPause = 250 * time.Millisecond // of an attempt that could not be written to the journal
+	listWait   = 500 * time.Millisecond // for the list, of a process that takes over without a handover
 	eventRoom  = 4096
 )
 
@@ -82,6 +83,7 @@
 	load    func() (*Config, error)
 	again   chan struct{} // holds one token while the configuration is to be read without a signal
 	follow  bool          // watch discovery from the start
+	stoodBy bool          // another process owned the journal when this one began
 	lock    *os.File      // on the state folder; nil while another process owns it
 	ln      net.Listener  // clients'
 
@@ -190,6 +192,9 @@
 	if n.follow {
 		n.disc.watch(work)
 	}
+	if n.stoodBy && n.before == nil {
+		n.awaitList(work)
+	}
 	n.step(work) // what the journal holds comes first: its ends are due
 	n.stages.done("step")
 	notify, stopNotices := context.WithCancel(work)
@@ -250,6 +255,21 @@
 	return nil
 }
 
+// awaitList waits for the list, for a short while, where an agent of our own has it at once. A process that stood by and
+// was not handed over to goes on for a sender that may have been told of changes which its own list does not have.
+func (n *Node) awaitList(work context.Context) {
+	late := time.NewTimer(listWait)
+	defer late.Stop()
+	for n.follow && !n.disc.heard {
+		select {
+		case ev := <-n.events:
+			n.take(work, ev)
+		case <-late.C:
+			return
+		}
+	}
+}
+
 // loadAnew follows a configuration that may have been replaced while this process waited for its turn.
 func (n *Node) loadAnew() {
 	if n.load == nil {
--- a/internal/soak/ledger.go
+++ b/internal/soak/ledger.go
@@ -203,7 +203,7 @@
 		l.checkRepeat(m, a)
 		m.attempts = append(m.attempts, a)
 		list, messages = append(list, a), append(messages, m)
-		if m.noticeAt != 0 && m.noticeAt+10*time.Millisecond < began {
+		if m.noticeAt != 0 && m.noticeAt+l.endSlack(m) < began {
 			l.add(RuleEnded, m.sender, "%s was %s at %.2fs and sent at %.2fs", id, m.notice, m.noticeAt.Seconds(), began.Seconds())
 		}
 		if m.answer == refused && m.answerAt+10*time.Millisecond < began {
@@ -223,6 +223,15 @@
 	return list, messages
 }
 
+// endSlack is how long after its notice a message may still be seen to be sent. A sender may be held up for 0.15 s while
+// it writes, and what it wrote off then has failed; what it returned was not about to be written.
+func (l *Ledger) endSlack(m *message) time.Duration {
+	if m.notice == "failed" {
+		return 160 * time.Millisecond
+	}
+	return 10 * time.Millisecond
+}
+
 // checkRepeat holds a call against the earlier ones with its message.
 func (l *Ledger) checkRepeat(m *message, a *attempt) {
 	if !l.sc.SecondCopies {
