--- a/internal/node/faults_test.go
+++ b/internal/node/faults_test.go
@@ -136,6 +136,7 @@
 
 // A read that fails for a moment is no torn end: what stands behind it is owed all the same.
 func TestReadErrorAtAStartLosesNothing(t *testing.T) {
+	t.Parallel()
 	p, e, dir, known := oneEndpoint(t)
 	x := startProcess(t, p, dir, known)
 	ids := takeOn(t, x, e, 16000, 6)
@@ -191,6 +192,7 @@
 
 // A write that fails says nothing of the next one: appends go on as soon as they work, though files can't be made yet.
 func TestAppendsGoOnAfterAFailure(t *testing.T) {
+	t.Parallel()
 	p, e, dir, known := oneEndpoint(t)
 	now := planTime()
 	later := now + 1500*time.Millisecond
@@ -221,6 +223,7 @@
 
 // A configuration that cannot be read for a moment is read again: the signal does not come twice.
 func TestReloadOutlivesAReadThatFails(t *testing.T) {
+	t.Parallel()
 	old, fresh, e, dir := newPlatform(t), newPlatform(t), newEndpoint(t), t.TempDir()
 	known := List{Generation: 5, Reset: true, Instances: instances(e)}
 	old.list, fresh.list = known, known
@@ -243,6 +246,7 @@
 // What is returned may be handed in again, so no later process may send it: the journal has its end before the platform
 // is told, or its time is up.
 func TestReturnedIsNeverSentByTheNextProcess(t *testing.T) {
+	t.Parallel()
 	p, e, dir, known := oneEndpoint(t)
 	now := planTime()
 	x := startFaulty(t, p, dir, configText(p, known), faultinject.Plan{Faults: []faultinject.Fault{{Call: "pwrite", On: faultinject.StateFiles,
@@ -288,6 +292,7 @@
 
 // A wait that a signal interrupts says nothing of the connection: it stays, and what comes on it is answered.
 func TestInterruptedWaitsCloseNothing(t *testing.T) {
+	t.Parallel()
 	p, e, dir, known := oneEndpoint(t)
 	now := planTime()
 	x := startFaulty(t, p, dir, configText(p, known), faultinject.Plan{Faults: []faultinject.Fault{{Call: "receive",
@@ -434,6 +439,7 @@
 // A process that stood by and takes over without a handover is the same sender: what the one before was told of an
 // endpoint holds for it, and its own list may be old.
 func TestTakeOverWithoutHandoverHeedsTheList(t *testing.T) {
+	t.Parallel()
 	p, dir := newPlatform(t), t.TempDir()
 	stays, drains := newEndpoint(t), newEndpoint(t)
 	old := List{Generation: 1, Reset: true, Instances: instances(stays, drains)}
