Tell the module the time that is left at its step, and wait for the list only behind a process

Times are brought up to date at the step; only a lock that another process has makes it wait. TestTimesAreThoseOfTheStep.

--- a/internal/node/handover.go
+++ b/internal/node/handover.go
@@ -118,7 +118,7 @@
 			n.clients.turn(starting)
 			return nil, nil
 		}
-		n.stoodBy = true
+		n.stoodBy = n.stoodBy || err == nil
 		var st *handover
 		if err == nil {
 			if st, err = n.standBy(ctx); err == nil {
--- a/internal/node/loop.go
+++ b/internal/node/loop.go
@@ -674,11 +674,30 @@
 	}
 }
 
+// refresh brings the times of messages up to date that have waited for this step, for the list of a start say: the module
+// counts from the step.
+func (n *Node) refresh(events []logic.Event) {
+	for i, ev := range events {
+		c, isCall := ev.(logic.Call)
+		h := n.held[c.ID]
+		if !isCall || h == nil {
+			continue
+		}
+		waited := c.Left - logic.Micros(h.msg.Deadline-n.decided)
+		c.Left -= waited
+		if c.Past.MayRun {
+			c.Past.Age += waited
+		}
+		events[i] = c
+	}
+}
+
 // step lets the module decide, writes the journal, and then acts, in order.
 func (n *Node) step(work context.Context) {
 	events := n.next
 	n.next = nil
 	n.decided = n.clock.Now()
+	n.refresh(events)
 	actions := n.sender.Step(micros(time.Since(n.start)), events)
 	answers := n.answers(actions)
 	for i, p := range n.puts {
--- a/internal/node/permit_test.go
+++ b/internal/node/permit_test.go
@@ -71,6 +71,22 @@
 	}
 }
 
+// What waits for a step is no younger for it: the module is told the time that is left at the step.
+func TestTimesAreThoseOfTheStep(t *testing.T) {
+	n := quietNode(t, newEndpoint(t))
+	h := takenOn(t, n, Message{ID: "m", Class: "keyed", Dest: 1})
+	n.held["m"] = h
+	c := n.callOf(h.msg, n.clock.Now())
+	c.Past = logic.Past{Taken: true, Tries: 1, MayRun: true, Age: 7}
+	const waited = 500_000 // microseconds
+	events := []logic.Event{logic.Due{}, c}
+	n.decided = h.msg.Deadline - int64(c.Left) + waited
+	n.refresh(events)
+	if got := events[1].(logic.Call); got.Left != c.Left-waited || got.Past.Age != 7+waited {
+		t.Errorf("left %d, age %d after %d; was %d, 7", got.Left, got.Past.Age, waited, c.Left)
+	}
+}
+
 // A promise that a message may be handed in again is checked, and so is its time.
 func TestPermitsCheckEnds(t *testing.T) {
 	n := quietNode(t, newEndpoint(t))
