--- a/internal/node/admin_test.go
+++ b/internal/node/admin_test.go
@@ -4,7 +4,6 @@
 	"context"
 	"fmt"
 	"io"
-	"log/slog"
 	"net"
 	"strings"
 	"testing"
@@ -86,15 +85,7 @@
 // Callers without a whole call block nobody, however many they are, and a deadline ends them. The loop is not asked:
 // here nothing runs it.
 func TestAdminBesideHalfCalls(t *testing.T) {
-	cfg, err := ParseConfig(configText(newPlatform(t), List{}))
-	if err != nil {
-		t.Fatal(err)
-	}
-	cfg.StateDir = t.TempDir()
-	n, err := New(cfg, slog.New(slog.DiscardHandler))
-	if err != nil {
-		t.Fatal(err)
-	}
+	n := newNode(t, configText(newPlatform(t), List{}))
 	defer n.journal.Close()
 	n.clients.turn(serving)
 	addr := operators(t, n)
--- a/internal/node/close_test.go
+++ b/internal/node/close_test.go
@@ -275,21 +275,15 @@
 	n, _, p, _ := world(t, 1)
 	stopClean(t, n)
 	check("stopped", n.Node)
-	cfg, err := ParseConfig(configText(p, List{}))
-	if err != nil {
-		t.Fatal(err)
-	}
-	cfg.StateDir = t.TempDir()
-	old, err := New(cfg, slog.New(slog.DiscardHandler))
-	if err != nil {
-		t.Fatal(err)
-	}
+	old := newNode(t, configText(p, List{}))
 	defer old.lock.Close()
 	defer old.journal.Close()
-	if old.ln, err = net.Listen("tcp", "127.0.0.1:0"); err != nil {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
 		t.Fatal(err)
 	}
-	go old.clients.serve(old.ln)
+	old.ln = ln
+	go old.clients.serve(ln)
 	old.closing, old.after = time.Now(), &successor{packets: make(chan packet)}
 	old.retire(t.Context())
 	check("replaced", old)
--- a/internal/node/harness_test.go
+++ b/internal/node/harness_test.go
@@ -268,6 +268,21 @@
 	return b
 }
 
+// newNode makes a sender with the text of a configuration and a folder of its own. It does not run.
+func newNode(t *testing.T, text []byte) *Node {
+	t.Helper()
+	cfg, err := ParseConfig(text)
+	if err != nil {
+		t.Fatal(err)
+	}
+	cfg.StateDir = t.TempDir()
+	n, err := New(cfg, slog.New(slog.DiscardHandler))
+	if err != nil {
+		t.Fatal(err)
+	}
+	return n
+}
+
 // testNode is a sender under test, in this process.
 type testNode struct {
 	*Node
--- a/internal/node/node_test.go
+++ b/internal/node/node_test.go
@@ -498,15 +498,7 @@
 	p, old, fresh := newPlatform(t), newEndpoint(t), newEndpoint(t)
 	known := List{Generation: 1, Reset: true, Instances: instances(old)}
 	p.list = known
-	cfg, err := ParseConfig([]byte(strings.Replace(string(configText(p, known)), "on_request", "pushed", 1)))
-	if err != nil {
-		t.Fatal(err)
-	}
-	cfg.StateDir = t.TempDir()
-	n, err := New(cfg, slog.New(slog.DiscardHandler))
-	if err != nil {
-		t.Fatal(err)
-	}
+	n := newNode(t, []byte(strings.Replace(string(configText(p, known)), "on_request", "pushed", 1)))
 	ctx, stop := context.WithCancel(t.Context())
 	done := make(chan error, 1)
 	go func() { done <- n.Run(ctx) }()
--- a/internal/node/permit_test.go
+++ b/internal/node/permit_test.go
@@ -1,7 +1,6 @@
 package node
 
 import (
-	"log/slog"
 	"strings"
 	"testing"
 	"time"
@@ -114,15 +113,7 @@
 // quietNode is a sender that owns a journal and knows one endpoint, and does nothing.
 func quietNode(t *testing.T, e *endpoint) *Node {
 	t.Helper()
-	cfg, err := ParseConfig(configText(newPlatform(t), List{}))
-	if err != nil {
-		t.Fatal(err)
-	}
-	cfg.StateDir = t.TempDir()
-	n, err := New(cfg, slog.New(slog.DiscardHandler))
-	if err != nil {
-		t.Fatal(err)
-	}
+	n := newNode(t, configText(newPlatform(t), List{}))
 	t.Cleanup(func() { n.journal.Close() })
 	n.dir.Take(List{Generation: 1, Reset: true, Instances: instances(e)}, time.Now())
 	if !n.dir.ready(logic.EndpointID(1)) {
