Set the times of messages once, at the step that the module is told of them

Cause: the time left and the age of a first send were worked out when a message came or was read back, and a later change worked them out again at the step: the same thing twice, with a lookup for every event.

--- a/internal/node/loop.go
+++ b/internal/node/loop.go
@@ -390,7 +390,6 @@
 		n.disc.gen, n.disc.started = n.cfg.Known.Generation, true
 		n.next = append(n.next, logic.Endpoints{Form: logic.ListCached, Entries: n.dir.Take(n.cfg.Known, time.Now())})
 	}
-	now := n.clock.Now()
 	for _, e := range n.journal.Entries() {
 		if e.End != nil {
 			n.notices.add(*e.End)
@@ -402,10 +401,10 @@
 		}
 		n.held[e.ID] = &held{msg: &e.Message, tries: e.Tries, trail: trail{came: time.Now()}}
 		n.open++
-		c := n.callOf(&e.Message, now)
+		c := n.callOf(&e.Message)
 		c.Past = logic.Past{Taken: true, Tries: e.Tries, MayRun: e.MayRun || e.Open}
 		if c.Past.MayRun {
-			c.Past.Age, c.Past.Zone = logic.Micros(max(now-e.FirstMay, 0)), e.FirstZone
+			c.Past.Zone = e.FirstZone
 		}
 		if e.Open { // whoever reads the journal next must not take its outcome for a later one's
 			n.records = append(n.records, record{Op: opOutcome, ID: e.ID, MayRun: true})
@@ -425,9 +424,9 @@
 	n.unsaid = append(n.unsaid, unsaid{x, e.Deadline})
 }
 
-// callOf is the module's view of a message.
-func (n *Node) callOf(m *Message, now int64) logic.Call {
-	c := logic.Call{ID: m.ID, Key: m.Order, Left: logic.Micros(m.Deadline - now), Dest: m.Dest, Tenant: -1, Class: n.cfg.Classes[m.Class]}
+// callOf is the module's view of a message, without its times: those are set at the step.
+func (n *Node) callOf(m *Message) logic.Call {
+	c := logic.Call{ID: m.ID, Key: m.Order, Dest: m.Dest, Tenant: -1, Class: n.cfg.Classes[m.Class]}
 	if t, ok := n.cfg.Tenants[m.Tenant]; ok && m.Tenant != "" {
 		c.Tenant = t
 	}
@@ -486,7 +485,7 @@
 	n.held[id] = &held{msg: &m, trail: trail{came: time.Now()}}
 	n.open++
 	n.puts = append(n.puts, ev)
-	n.next = append(n.next, n.callOf(&m, n.clock.Now()))
+	n.next = append(n.next, n.callOf(&m))
 }
 
 // admission is the answer to a message that is not let in; empty for one that is.
@@ -674,19 +673,19 @@
 	}
 }
 
-// refresh brings the times of messages up to date that have waited for this step, for the list of a start say: the module
-// counts from the step.
-func (n *Node) refresh(events []logic.Event) {
+// setTimes sets the times of the messages that the step at hand is told of. The module counts from the step, and they may
+// have waited for it, for the list of a start say.
+func (n *Node) setTimes(events []logic.Event) {
 	for i, ev := range events {
-		c, isCall := ev.(logic.Call)
-		h := n.held[c.ID]
-		if !isCall || h == nil {
+		c, ok := ev.(logic.Call)
+		if !ok {
 			continue
 		}
-		waited := c.Left - logic.Micros(h.msg.Deadline-n.decided)
-		c.Left -= waited
+		if h := n.held[c.ID]; h != nil {
+			c.Left = logic.Micros(h.msg.Deadline - n.decided)
+		}
 		if c.Past.MayRun {
-			c.Past.Age += waited
+			c.Past.Age = logic.Micros(max(n.decided-n.journal.Entry(c.ID).FirstMay, 0))
 		}
 		events[i] = c
 	}
@@ -697,7 +696,7 @@
 	events := n.next
 	n.next = nil
 	n.decided = n.clock.Now()
-	n.refresh(events)
+	n.setTimes(events)
 	actions := n.sender.Step(micros(time.Since(n.start)), events)
 	answers := n.answers(actions)
 	for i, p := range n.puts {
--- a/internal/node/permit_test.go
+++ b/internal/node/permit_test.go
@@ -75,14 +75,14 @@
 	n := quietNode(t, newEndpoint(t))
 	h := takenOn(t, n, Message{ID: "m", Class: "keyed", Dest: 1})
 	n.held["m"] = h
-	c := n.callOf(h.msg, n.clock.Now())
-	c.Past = logic.Past{Taken: true, Tries: 1, MayRun: true, Age: 7}
-	const waited = 500_000 // microseconds
+	n.journal.Entry("m").FirstMay = h.msg.Deadline - 7_000_000
+	c := n.callOf(h.msg)
+	c.Past = logic.Past{Taken: true, Tries: 1, MayRun: true}
 	events := []logic.Event{logic.Due{}, c}
-	n.decided = h.msg.Deadline - int64(c.Left) + waited
-	n.refresh(events)
-	if got := events[1].(logic.Call); got.Left != c.Left-waited || got.Past.Age != 7+waited {
-		t.Errorf("left %d, age %d after %d; was %d, 7", got.Left, got.Past.Age, waited, c.Left)
+	n.decided = h.msg.Deadline - 2_000_000
+	n.setTimes(events)
+	if got := events[1].(logic.Call); got.Left != 2_000_000 || got.Past.Age != 5_000_000 {
+		t.Errorf("left %d us, age %d us; want 2 s, 5 s", got.Left, got.Past.Age)
 	}
 }
 
