Keep the one condition that ends a client's connection, and name the reason apart

Cause: counting reasons had spread the condition over a switch with a case in a case. Measured: the tests of closes, shutdowns, floods and idle clients passed.

--- a/internal/node/session.go
+++ b/internal/node/session.go
@@ -168,23 +168,27 @@
 	}
 	s.c.mu.Lock()
 	defer s.c.mu.Unlock()
-	switch {
-	case s.gone, !data && err == nil:
-		return closedGone, false
-	case s.c.parting, s.c.tooLate():
-		if !data || s.c.tooLate() {
-			return closedParting, false
-		}
-	case !data && errors.Is(err, os.ErrDeadlineExceeded):
-		return closedIdle, false
-	case !data:
-		return closedGone, false
+	if !data || s.gone || s.c.tooLate() {
+		return s.whyEnded(data, err), false
 	}
 	s.open++
 	s.reading, s.fresh = true, false
 	return "", true
 }
 
+// whyEnded says why no request is awaited any more, under the lock of clients.
+func (s *session) whyEnded(data bool, err error) closing {
+	switch {
+	case s.gone, !data && err == nil:
+		return closedGone
+	case s.c.parting, s.c.tooLate():
+		return closedParting
+	case errors.Is(err, os.ErrDeadlineExceeded):
+		return closedIdle
+	}
+	return closedGone
+}
+
 // whole notes that the request at hand has come to its end, good or bad, and whether some of the next has come with it.
 func (s *session) whole(more bool) {
 	s.c.mu.Lock()
