--- a/internal/node/handover.go
+++ b/internal/node/handover.go
@@ -349,30 +349,29 @@
 // which clients are taken. One at a time stands by.
 func (n *Node) awaitSuccessors(ctx context.Context, ln unixListener, clients *net.TCPListener) {
 	defer context.AfterFunc(ctx, func() { ln.Close() })()
-	said, rest := "", acceptPause
+	rest := acceptPause
+	accepting := failures{log: n.log, what: "handover: accept"} // where such sockets are refused it does not end
+	greeting := failures{log: n.log, what: "handover: greeting"}
 	for {
 		conn, err := ln.AcceptUnix()
+		if errors.Is(err, net.ErrClosed) {
+			return
+		}
+		accepting.note(err)
 		if err != nil {
-			if errors.Is(err, net.ErrClosed) {
-				return
-			}
-			if err.Error() != said { // once for a row of failures: where such sockets are refused it does not end
-				said = err.Error()
-				n.log.Warn("handover: accept", "err", err)
-			}
 			pause(ctx, rest)
 			rest = min(2*rest, acceptMost)
 			continue
 		}
-		said, rest = "", acceptPause
+		rest = acceptPause
 		s := &successor{link: &link{conn: conn}, packets: make(chan packet, 64)}
 		stop := context.AfterFunc(ctx, s.link.close)
 		if err := s.link.hear(); err == nil {
 			n.events <- successorEvent{s: s} // known before it can say that it is ready
-			if err = s.link.welcome(n.cfg.Listen, clients); err == nil {
+			err = s.link.welcome(n.cfg.Listen, clients)
+			greeting.note(err)
+			if err == nil {
 				s.read(ctx) // another waits its turn
-			} else {
-				n.log.Warn("handover: greeting", "err", err)
 			}
 			close(s.packets)
 			n.events <- successorEvent{s, true}
