Drop what the soak kept and nobody read

Cause: four fields (a connection's use, an outage's begin, an attempt's sender, whether a stop was planned) were set and never read. Change: they and their arguments are gone. Measured: the tests of the soak's draw and ledger passed.

--- a/internal/soak/clients.go
+++ b/internal/soak/clients.go
@@ -16,8 +16,7 @@
 // connection is a client's connection to a sender.
 type connection struct {
 	net.Conn
-	r    *bufio.Reader
-	used bool // it has carried a request
+	r *bufio.Reader
 }
 
 // clients hand messages to one sender.
@@ -167,7 +166,6 @@
 			}
 			return batch[i:], errClosed
 		}
-		conn.used = true
 		switch {
 		case strings.HasPrefix(line, "+OK"):
 			c.s.run.ledger.answered(m, takenOn)
--- a/internal/soak/endpoint.go
+++ b/internal/soak/endpoint.go
@@ -36,8 +36,7 @@
 	mu       sync.Mutex
 	backlog  float64
 	filled   time.Duration
-	downAt   time.Duration // when the last outage began; 0 for none
-	backAt   time.Duration // when it ended; 0 while it lasts
+	backAt   time.Duration // when the last outage ended; 0 for none, and while it lasts
 	arrived  []arrival     // since then
 	knew     map[int]bool  // senders that had a call fail in the outage
 	reported bool
@@ -407,10 +406,10 @@
 }
 
 // fails begins an outage of a destination, recovers ends it.
-func (d *destination) fails(l *Ledger) {
+func (d *destination) fails() {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	d.downAt, d.backAt, d.arrived, d.reported = l.now(), 0, nil, false
+	d.backAt, d.arrived, d.reported = 0, nil, false
 	d.knew = map[int]bool{}
 }
 
--- a/internal/soak/ledger.go
+++ b/internal/soak/ledger.go
@@ -70,7 +70,6 @@
 
 // attempt is a call that came whole to an endpoint.
 type attempt struct {
-	sender   int
 	endpoint *endpoint
 	began    time.Duration // its first byte
 	at       time.Duration // its last
@@ -98,7 +97,6 @@
 // outage is the time in which a process is gone, until it serves again.
 type outage struct {
 	from, ready time.Duration
-	planned     bool
 	untried     []*message
 }
 
@@ -199,7 +197,7 @@
 			l.add(RuleForeign, -1, "message %q at destination %d", id, e.dest.number)
 			continue
 		}
-		a := &attempt{sender: m.sender, endpoint: e, began: began, at: now}
+		a := &attempt{endpoint: e, began: began, at: now}
 		l.checkRepeat(m, a)
 		m.attempts = append(m.attempts, a)
 		list, messages = append(list, a), append(messages, m)
@@ -324,10 +322,10 @@
 }
 
 // goes notes that a process is about to be stopped.
-func (l *Ledger) goes(sender int, planned bool) *outage {
+func (l *Ledger) goes(sender int) *outage {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	o := &outage{from: l.now(), planned: planned}
+	o := &outage{from: l.now()}
 	l.outages[sender] = append(l.outages[sender], o)
 	return o
 }
--- a/internal/soak/process.go
+++ b/internal/soak/process.go
@@ -248,7 +248,7 @@
 func (s *sender) restart(planned bool) {
 	s.serving.Lock()
 	defer s.serving.Unlock()
-	o := s.run.ledger.goes(s.number, planned)
+	o := s.run.ledger.goes(s.number)
 	s.end(s.process(), planned)
 	s.agent.askedFrom(never)
 	s.run.ledger.gone(s.number, o)
@@ -289,7 +289,7 @@
 	s.cmd = next
 	s.mu.Unlock()
 	// Where the old process hands over, the new one goes on at once; where it cannot, this is a restart.
-	o := s.run.ledger.goes(s.number, true)
+	o := s.run.ledger.goes(s.number)
 	s.end(old, true)
 	if s.awaitReady(next) {
 		s.run.ledger.serves(o)
--- a/internal/soak/run.go
+++ b/internal/soak/run.go
@@ -279,7 +279,7 @@
 	r.mu.Lock()
 	list := slices.Clone(r.endpoints[t.Destination])
 	r.mu.Unlock()
-	d.fails(r.ledger)
+	d.fails()
 	for _, e := range list {
 		e.turn(t.Kind)
 	}
