Read the kernel's clocks in one place

Cause: the lasting clock and the fault plans each made the same raw call. Change: package clock has the call, by the clock's number; the plans use it. Measured: the tests of clock and faultinject passed.

--- a/internal/clock/clock.go
+++ b/internal/clock/clock.go
@@ -21,8 +21,23 @@
 	"unsafe"
 )
 
-// bootTime is the number of the kernel's clock that counts from the boot, suspensions too (clock_gettime(2)).
-const bootTime = 7
+// KernelClock is the number of one of the kernel's clocks (clock_gettime(2)).
+type KernelClock uintptr
+
+// The clocks that are used here: both count from the boot, and Boot counts suspensions too.
+const (
+	Monotonic KernelClock = 1
+	Boot      KernelClock = 7
+)
+
+// Read is what a clock of the kernel says, the same for all processes of a machine.
+func (c KernelClock) Read() (time.Duration, error) {
+	var ts syscall.Timespec
+	if _, _, errno := syscall.Syscall(syscall.SYS_CLOCK_GETTIME, uintptr(c), uintptr(unsafe.Pointer(&ts)), 0); errno != 0 {
+		return 0, errno
+	}
+	return time.Duration(ts.Nano()), nil
+}
 
 // bootFile holds the identity of the boot (random(4)).
 const bootFile = "/proc/sys/kernel/random/boot_id"
@@ -95,9 +110,8 @@
 
 func read() machine {
 	m := machine{now: time.Now(), boot: bootIdentity()}
-	var ts syscall.Timespec
-	if _, _, errno := syscall.Syscall(syscall.SYS_CLOCK_GETTIME, bootTime, uintptr(unsafe.Pointer(&ts)), 0); errno == 0 {
-		m.run = ts.Nano() / 1000
+	if run, err := Boot.Read(); err == nil {
+		m.run = run.Microseconds()
 	}
 	return m
 }
--- a/internal/faultinject/build.go
+++ b/internal/faultinject/build.go
@@ -10,9 +10,9 @@
 	"path/filepath"
 	"runtime"
 	"strings"
-	"syscall"
 	"time"
-	"unsafe"
+
+	"ravenmount/internal/clock"
 )
 
 //go:embed overlay/syscall.go.txt
@@ -124,12 +124,11 @@
 	return file, os.WriteFile(file, list, 0o600)
 }
 
-// Now is the clock that plans go by: CLOCK_MONOTONIC, the same for all processes of a machine.
+// Now is the clock that plans go by: that of the runtime's monotonic readings, the same for all processes of a machine.
 func Now() time.Duration {
-	var ts syscall.Timespec
-	const clockMonotonic = 1
-	if _, _, errno := syscall.Syscall(syscall.SYS_CLOCK_GETTIME, clockMonotonic, uintptr(unsafe.Pointer(&ts)), 0); errno != 0 {
-		panic(errno) // only a wrong clock number or address can cause it
+	now, err := clock.Monotonic.Read()
+	if err != nil {
+		panic(err) // only a wrong clock number or address can cause it
 	}
-	return time.Duration(ts.Nano())
+	return now
 }
