--- a/review/standin/sender.go
+++ b/review/standin/sender.go
@@ -3,7 +3,9 @@
 import (
 	"bufio"
 	"encoding/json"
+	"errors"
 	"fmt"
+	"math/rand/v2"
 	"net"
 	"os"
 	"os/exec"
@@ -159,12 +161,21 @@
 	}
 }
 
+// Ports of senders lie below the range of outgoing connections, so that none takes the port while a sender restarts.
+const (
+	minPort   = 10000
+	maxPort   = 32000
+	portTries = 200
+)
+
 // freeAddr returns a loopback address with a port that is free now.
 func freeAddr() (string, error) {
-	ln, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		return "", err
+	for range portTries {
+		addr := fmt.Sprintf("127.0.0.1:%d", minPort+rand.IntN(maxPort-minPort))
+		if ln, err := net.Listen("tcp", addr); err == nil {
+			ln.Close()
+			return addr, nil
+		}
 	}
-	defer ln.Close()
-	return ln.Addr().String(), nil
+	return "", errors.New("no free port")
 }
