review: case 3, a new configuration signalled during a hand-over never takes effect

Cause: after the hand-over the old process passes on messages and results to its successor, but drops a reload; the successor has read the configuration before it was replaced and goes on calling the old address. Test: review/3/run.sh replaces the process and, 100 ms after SIGTERM, the configuration, with SIGHUP to the old process, which still runs; messages taken on later must get their notices.

--- /dev/null
+++ b/review/3/run.sh
@@ -0,0 +1,3 @@
+#!/bin/bash
+# Case 3: a new configuration while one process replaces the other is signalled to the old one and gets lost.
+exec "$(dirname "$0")/../play.sh" 3
--- a/review/standin/agent.go
+++ b/review/standin/agent.go
@@ -41,6 +41,7 @@
 	list   hostList
 	addr   string
 	server *http.Server
+	ln     net.Listener
 
 	mu      sync.Mutex
 	notices map[string]notice // the first one of each message
@@ -51,7 +52,7 @@
 	if err != nil {
 		return nil, err
 	}
-	a := &agent{record: r, list: list, addr: ln.Addr().String(), notices: map[string]notice{}}
+	a := &agent{record: r, list: list, addr: ln.Addr().String(), ln: ln, notices: map[string]notice{}}
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET /discovery/hosts", a.serveHosts)
 	mux.HandleFunc("POST /v1/outcomes", a.serveOutcomes)
@@ -100,3 +101,9 @@
 	n, ok := a.notices[id]
 	return n, ok
 }
+
+// endIn ends the address as at a new configuration: it takes no new connections, and its open ones close after a delay.
+func (a *agent) endIn(delay time.Duration) {
+	a.ln.Close()
+	time.AfterFunc(delay, func() { a.server.Close() })
+}
