review: case 1 with 32 endpoints and 26 call slots

Cause: unchanged; the first form had 76 endpoints, more than a small deployment has. Test: 10 destinations with late connections and 22 without, bodies of 4 kB.

--- a/review/standin/late_connection.go
+++ b/review/standin/late_connection.go
@@ -13,10 +13,10 @@
 const (
 	lateRounds         = 8 // one after the other
 	latePlaysAtOnce    = 3
-	lateEndpoints      = 24 // each the only one of its destination; their connections come up late
-	promptEndpoints    = 52 // likewise, but their connections come up at once
+	lateEndpoints      = 10 // each the only one of its destination; their connections come up late
+	promptEndpoints    = 22 // likewise, but their connections come up at once
 	messagesInCall     = 10
-	bodyBytes          = 1600
+	bodyBytes          = 4000
 	killDelay          = 150 * time.Millisecond            // from the first request to SIGKILL, if all are answered
 	firstLifetime      = killDelay + 1612*time.Millisecond // d of a destination's first message
 	lifetimeStep       = 8 * time.Millisecond              // from one message of a destination to the next
@@ -175,7 +175,7 @@
 			{name: "status", effect: "retryable", deadlineS: 8, windowS: 5},
 			{name: "charge", effect: "fragile", deadlineS: 16, windowS: 5},
 		},
-		batch: messagesInCall, slots: lateEndpoints + promptEndpoints, maxOpen: 416, mayCancel: true, secondCopies: true,
+		batch: messagesInCall, slots: 26, maxOpen: 416, mayCancel: true, secondCopies: true,
 	}
 	dir := filepath.Join(p.env.dir, p.name)
 	if err := os.Mkdir(dir, 0o700); err != nil {
