--- a/review/standin/client.go
+++ b/review/standin/client.go
@@ -2,9 +2,11 @@
 
 import (
 	"bufio"
+	"errors"
 	"fmt"
 	"net"
 	"strings"
+	"sync"
 	"time"
 )
 
@@ -75,3 +77,14 @@
 	}
 	return nil
 }
+
+// handInAtOnce hands in batches of messages, each on a connection of its own, at the same time.
+func handInAtOnce(r *recorder, addr string, batches [][]*message) error {
+	errs := make([]error, len(batches))
+	var wg sync.WaitGroup
+	for i, batch := range batches {
+		wg.Go(func() { errs[i] = handIn(r, addr, batch) })
+	}
+	wg.Wait()
+	return errors.Join(errs...)
+}
--- a/review/standin/drain_pieces.go
+++ b/review/standin/drain_pieces.go
@@ -88,36 +88,23 @@
 }
 
 func playDrain(env *environment) (broken []string, err error) {
-	e, err := newEndpoint(env.record, "s-0", 0, 64, (*call).deliver)
+	e, err := newEndpoint(env.record, "s-0", 0, ordinaryBacklog, (*call).deliver)
 	if err != nil {
 		return nil, err
 	}
 	defer e.ln.Close()
 	go e.run()
-	list := hostList{Generation: 1, Reset: true, Instances: []host{e.host("bulk")}}
+	list := hostList{Generation: 1, Reset: true, Instances: []host{e.host()}}
 	a, err := newAgent(env.record, list)
 	if err != nil {
 		return nil, err
 	}
 	defer a.server.Close()
-	o := options{
-		classes: []class{{name: "status", effect: "retryable", deadlineS: 8, windowS: 5}},
-		batch:   1, slots: 13, maxOpen: 416, mayCancel: true, secondCopies: true,
-	}
-	s, err := newSender(env.record, env.root, env.command, env.dir, a.addr, o.settings(), list)
+	s, err := startSender(env, env.dir, a.addr, options{batch: 1, slots: 13}, list)
 	if err != nil {
 		return nil, err
 	}
 	defer s.stop()
-	if s.admin, err = freeAddr(); err != nil {
-		return nil, err
-	}
-	if err := s.start(); err != nil {
-		return nil, err
-	}
-	if err := s.awaitReady(); err != nil {
-		return nil, err
-	}
 	conn, err := net.DialTimeout("tcp", s.listen, replyTimeout)
 	if err != nil {
 		return nil, err
--- a/review/standin/endpoint.go
+++ b/review/standin/endpoint.go
@@ -39,10 +39,13 @@
 	serve  func(*call) bool
 	ln     net.Listener
 
-	mu      sync.Mutex
-	fillers []net.Conn // connections that fill the accept queue
+	mu     sync.Mutex
+	filler net.Conn // fills the accept queue; nil if nothing does
 }
 
+// ordinaryBacklog is the length of the accept queue of an endpoint whose connections come up at once.
+const ordinaryBacklog = 64
+
 // newEndpoint listens on a free loopback port. backlog is the length of the accept queue.
 func newEndpoint(r *recorder, name string, dest, backlog int, serve func(*call) bool) (*endpoint, error) {
 	fd, err := syscall.Socket(syscall.AF_INET, syscall.SOCK_STREAM|syscall.SOCK_CLOEXEC, 0)
@@ -66,31 +69,28 @@
 
 func (e *endpoint) addr() string { return e.ln.Addr().String() }
 
-func (e *endpoint) host(kind string) host {
-	return host{ID: e.name, HostPort: e.addr(), Zone: "a", MachineType: kind, Dest: e.dest, Lifecycle: "up", Weight: 1}
+func (e *endpoint) host() host {
+	return host{ID: e.name, HostPort: e.addr(), Zone: "a", MachineType: "bulk", Dest: e.dest, Lifecycle: "up", Weight: 1}
 }
 
-// fillQueue fills the accept queue, so that new connections do not come up until run accepts them.
-func (e *endpoint) fillQueue(connections int) error {
-	for range connections {
-		conn, err := net.DialTimeout("tcp", e.addr(), replyTimeout)
-		if err != nil {
-			return err
-		}
-		e.mu.Lock()
-		e.fillers = append(e.fillers, conn)
-		e.mu.Unlock()
+// fillQueue fills an accept queue of length 0, so that new connections do not come up until run accepts.
+func (e *endpoint) fillQueue() error {
+	conn, err := net.DialTimeout("tcp", e.addr(), replyTimeout)
+	if err != nil {
+		return err
 	}
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.filler = conn
 	return nil
 }
 
 // run accepts connections until the listener is closed.
 func (e *endpoint) run() {
 	e.mu.Lock()
-	for _, conn := range e.fillers {
-		conn.Close()
+	if e.filler != nil {
+		e.filler.Close()
 	}
-	e.fillers = nil
 	e.mu.Unlock()
 	for {
 		conn, err := e.ln.Accept()
--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -34,7 +34,7 @@
 // playCase plays a case and returns how the rule was broken; nil if it held.
 type playCase func(*environment) (broken []string, err error)
 
-var cases = map[string]playCase{"1": playLateConnection, "2": playDrain, "3": playReload}
+var cases = map[string]playCase{"1": playLateConnection, "2": playReload, "3": playDrain}
 
 func main() {
 	name := flag.String("case", "", "number of the case")
--- a/review/standin/reload_handover.go
+++ b/review/standin/reload_handover.go
@@ -44,12 +44,12 @@
 	}
 	var opened []*endpoint
 	for dest, serve := range []func(*call) bool{shut, hang} {
-		e, err := newEndpoint(p.env.record, fmt.Sprintf("s-%d", dest), dest, 64, serve)
+		e, err := newEndpoint(p.env.record, fmt.Sprintf("s-%d", dest), dest, ordinaryBacklog, serve)
 		if err != nil {
 			return list, nil, err
 		}
 		opened = append(opened, e)
-		list.Instances = append(list.Instances, e.host("bulk"))
+		list.Instances = append(list.Instances, e.host())
 		go e.run()
 	}
 	return list, func() {
@@ -63,10 +63,6 @@
 func (p *reloadPlay) replace() (*exec.Cmd, error) {
 	s := p.sender
 	oldProcess := s.process
-	var err error
-	if s.admin, err = freeAddr(); err != nil {
-		return nil, err
-	}
 	if err := s.start(); err != nil {
 		return nil, err
 	}
@@ -149,23 +145,10 @@
 		}
 		defer (*a).server.Close()
 	}
-	o := options{
-		classes: []class{{name: "status", effect: "retryable", deadlineS: 8, windowS: 5}},
-		batch:   1, slots: 13, maxOpen: 416, mayCancel: true, secondCopies: true,
-	}
-	if p.sender, err = newSender(env.record, env.root, env.command, env.dir, p.old.addr, o.settings(), list); err != nil {
+	if p.sender, err = startSender(env, env.dir, p.old.addr, options{batch: 1, slots: 13}, list); err != nil {
 		return nil, err
 	}
 	defer p.sender.stop()
-	if p.sender.admin, err = freeAddr(); err != nil {
-		return nil, err
-	}
-	if err := p.sender.start(); err != nil {
-		return nil, err
-	}
-	if err := p.sender.awaitReady(); err != nil {
-		return nil, err
-	}
 	p.handInUntil(time.Now().Add(oldProcessAge))
 	held := &message{id: "00000000000fffff", class: "status", dest: 1, lifetime: longLifetime, body: "held"}
 	if err := handIn(env.record, p.sender.listen, []*message{held}); err != nil {
--- a/review/standin/sender.go
+++ b/review/standin/sender.go
@@ -31,7 +31,7 @@
 	command string // run in the deploy file
 	dir     string // temporary folder
 	listen  string
-	admin   string // address for operators; empty for none
+	admin   string // address for operators of the current process
 	config  map[string]any
 	process *exec.Cmd
 	exited  chan error
@@ -52,13 +52,13 @@
 	}
 }
 
-// newSender writes the configuration and creates the folders. settings is the object that the deploy page describes.
-func newSender(r *recorder, root, command, dir, discovery string, settings map[string]any, list hostList) (*sender, error) {
+// startSender writes the configuration, creates the folders in dir, starts the first process and waits until it is ready.
+func startSender(env *environment, dir, discovery string, o options, list hostList) (*sender, error) {
 	listen, err := freeAddr()
 	if err != nil {
 		return nil, err
 	}
-	s := &sender{record: r, root: root, command: command, dir: dir, listen: listen}
+	s := &sender{record: env.record, root: env.root, command: env.command, dir: dir, listen: listen}
 	for _, folder := range []string{"state", "tmp"} {
 		if err := os.MkdirAll(filepath.Join(dir, folder), 0o700); err != nil {
 			return nil, err
@@ -71,9 +71,19 @@
 		"seed":      "8c1f30d27a5be964",
 		"limits":    map[string]any{"cores": 1.0, "memory_mb": 192, "sockets": 1024, "disk_mb": 3},
 		"known":     list,
-		"settings":  settings,
+		"settings":  o.settings(),
 	}
-	return s, s.writeConfig()
+	if err := s.writeConfig(); err != nil {
+		return nil, err
+	}
+	if err := s.start(); err != nil {
+		return nil, err
+	}
+	if err := s.awaitReady(); err != nil {
+		s.stop()
+		return nil, err
+	}
+	return s, nil
 }
 
 func (s *sender) configPath() string { return filepath.Join(s.dir, "config.json") }
@@ -90,8 +100,11 @@
 	return os.Rename(s.configPath()+".new", s.configPath())
 }
 
-// start starts a process. Its log is appended to sender.log in the temporary folder.
-func (s *sender) start() error {
+// start starts a process, with an operators' address of its own. Its log is appended to sender.log in the temporary folder.
+func (s *sender) start() (err error) {
+	if s.admin, err = freeAddr(); err != nil {
+		return err
+	}
 	logFile, err := os.OpenFile(filepath.Join(s.dir, "sender.log"), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
 	if err != nil {
 		return err
@@ -154,6 +167,18 @@
 	}
 }
 
+// restart kills the current process and starts the next one with the same folder, as the platform does.
+func (s *sender) restart() error {
+	if err := s.kill(); err != nil {
+		return err
+	}
+	time.Sleep(restartDelay)
+	if err := s.start(); err != nil {
+		return err
+	}
+	return s.awaitReady()
+}
+
 // stop ends the current process with SIGKILL, if there is one.
 func (s *sender) stop() {
 	if s.process != nil {
--- a/review/standin/settings.go
+++ b/review/standin/settings.go
@@ -2,45 +2,43 @@
 
 // class is one class of messages in the settings.
 type class struct {
-	name       string
-	effect     string // retryable, dedup or fragile
-	deadlineS  float64
-	windowS    float64
-	dedupGroup string
+	name      string
+	effect    string // retryable or fragile
+	aimS      float64
+	deadlineS float64
+	worth     float64
+}
+
+// classes are those of a small deployment.
+var classes = []class{
+	{name: "status", effect: "retryable", aimS: 1.5, deadlineS: 8, worth: 1},
+	{name: "charge", effect: "fragile", aimS: 2, deadlineS: 16, worth: 2},
 }
 
 // options are the settings in which the cases differ.
 type options struct {
-	classes      []class
-	batch        int // messages in one call at most
-	slots        int // calls out at once
-	maxOpen      int
-	mayCancel    bool
-	secondCopies bool
+	batch int // messages in one call at most
+	slots int // calls out at once
 }
 
 // settings returns the settings of a small deployment, in the form of the sender's configuration.
 func (o options) settings() map[string]any {
-	var classes []any
-	for _, c := range o.classes {
-		group := c.dedupGroup
-		if group == "" {
-			group = "all"
-		}
-		classes = append(classes, map[string]any{
-			"name": c.name, "idempotency": c.effect, "group": group, "window_s": c.windowS,
-			"aim_s": c.deadlineS / 4, "deadline_s": c.deadlineS, "worth": 1.0, "late_worth": 0.4, "stream": false,
+	var list []any
+	for _, c := range classes {
+		list = append(list, map[string]any{
+			"name": c.name, "idempotency": c.effect, "group": "all", "window_s": 5.0, "stream": false,
+			"aim_s": c.aimS, "deadline_s": c.deadlineS, "worth": c.worth, "late_worth": 0.1,
 		})
 	}
 	return map[string]any{
 		"balancers": 2, "me": 0, "tier": 0, "layers": []string{"partners"},
 		"zone": 0, "zones": []string{"a"}, "tick_s": 0.005, "membership_mode": "pushed", "weights": "off",
 		"kind_of_service": "deliver", "counted_by": "request", "over_share_worth": 0.1,
-		"machine_types": []string{"bulk"}, "classes": classes, "tenants": []any{},
+		"machine_types": []string{"bulk"}, "classes": list, "tenants": []any{},
 		"limits": map[string]any{
-			"conn_idle_s": 10.0, "connect_timeout_s": 1.5, "max_attempts": 8, "max_open": o.maxOpen,
-			"max_retry_after_s": 3.0, "may_cancel": o.mayCancel, "multiplex": 1, "peers": true, "probing": true,
-			"retry_after": true, "second_copies": o.secondCopies, "cpu_us_per_request": 0.0, "cpu_us_per_s": 500000,
+			"conn_idle_s": 10.0, "connect_timeout_s": 1.5, "max_attempts": 8, "max_open": 416,
+			"max_retry_after_s": 3.0, "may_cancel": true, "multiplex": 1, "peers": true, "probing": true,
+			"retry_after": true, "second_copies": true, "cpu_us_per_request": 0.0, "cpu_us_per_s": 500000,
 		},
 		"load_info": map[string]any{"how": "off", "names": []string{}},
 		"charges":   map[string]any{"handshake": 0.06},
