--- a/internal/node/bulk_test.go
+++ b/internal/node/bulk_test.go
@@ -43,8 +43,8 @@
 func addJournaledMessage(t *testing.T, n *Node, m Message) *activeMessage {
 	t.Helper()
 	m.Deadline = n.clock.Now() + (2 * testTimeout).Microseconds()
-	mustAppend(t, n.journal, record{Op: opAccept, Entry: &Entry{Message: m}})
-	return &activeMessage{msg: &n.journal.Entry(m.ID).Message, log: attemptLog{receivedAt: time.Now()}}
+	mustAppend(t, n.journal, record{Op: opAccept, Entry: &Entry{Message: &m}})
+	return &activeMessage{msg: n.journal.Entry(m.ID).Message, log: attemptLog{receivedAt: time.Now()}}
 }
 
 // collectOutcomes returns the outcomes of the next count calls, by message id.
@@ -74,15 +74,7 @@
 	if in.req.URL.Path != "/inbox/bulk" || in.req.Header.Get("X-Expires-In-Ms") != "20000" {
 		t.Fatalf("call to %s with %v", in.req.URL.Path, in.req.Header)
 	}
-	var items []bulkItem
-	if err := json.Unmarshal([]byte(in.body), &items); err != nil {
-		t.Fatal(err)
-	}
-	got := map[string]string{}
-	for _, x := range items {
-		got[x.ID] = string(x.Body)
-	}
-	if !maps.Equal(got, bodies) {
+	if got := receivedBodies(t, in); !maps.Equal(got, bodies) {
 		t.Errorf("sent %q", got)
 	}
 	replyWithBody(in, `[{"id":"a","state":"done"},{"id":"b","state":"busy"},{"id":"c","state":"failed"}]`)
@@ -100,8 +92,11 @@
 // responses would not count either.
 func TestBulkLatestDeadlineFirst(t *testing.T) {
 	n, e := newBulkNode(t, map[string]string{"a": "x", "b": "y", "c": "z"})
-	for id, deadline := range map[string]int64{"a": 2, "b": 1, "c": 3} {
-		n.active[id].msg.Deadline = deadline
+	deadlines := map[string]int64{"a": 2, "b": 1, "c": 3}
+	for _, pending := range n.pendingCalls {
+		m := *pending.msg
+		m.Deadline = deadlines[m.ID]
+		pending.msg = &m
 	}
 	n.sendPendingCalls(t.Context())
 	in := receive(t, e.calls, "call")
--- a/internal/node/clients.go
+++ b/internal/node/clients.go
@@ -22,7 +22,7 @@
 
 // putEvent is a message sent by a client. The loop sends exactly one reply.
 type putEvent struct {
-	msg   Message
+	msg   *Message
 	reply chan<- string
 }
 
--- a/internal/node/discovery_failure_test.go
+++ b/internal/node/discovery_failure_test.go
@@ -284,7 +284,7 @@
 		for i := 0; ; i++ {
 			time.Sleep(200 * time.Millisecond)
 			id, reply := fmt.Sprintf("%06d", i), make(chan string, 1)
-			m := Message{ID: id, IdempotencyKey: id, Class: "keyed", Tenant: "acme", Dest: 1, Body: []byte("x"),
+			m := &Message{ID: id, IdempotencyKey: id, Class: "keyed", Tenant: "acme", Dest: 1, Body: []byte("x"),
 				Deadline: time.Now().Add(3 * time.Second).UnixMicro()}
 			select {
 			case n.events <- putEvent{m, reply}:
--- a/internal/node/guard.go
+++ b/internal/node/guard.go
@@ -129,7 +129,7 @@
 
 // checkRepeat returns the rule that a further attempt would break because an earlier one may have run, or noViolation.
 func (g *protocolGuard) checkRepeat(entry *Entry, zone int, now int64) violation {
-	class := g.node.cfg.classOf(&entry.Message)
+	class := g.node.cfg.classOf(entry.Message)
 	switch {
 	case !entry.MayHaveRun:
 		return noViolation
@@ -189,7 +189,7 @@
 // returnUnsafe reports whether it would be wrong to return a message: that tells its client that it may be submitted
 // again.
 func (g *protocolGuard) returnUnsafe(entry *Entry) bool {
-	class := g.node.cfg.classOf(&entry.Message)
+	class := g.node.cfg.classOf(entry.Message)
 	return (entry.MayHaveRun || entry.InFlight) &&
 		(class.Idempotency == logic.NonIdempotent || class.Idempotency == logic.IdempotentByKey && class.DedupPerZone)
 }
--- a/internal/node/guard_test.go
+++ b/internal/node/guard_test.go
@@ -27,7 +27,11 @@
 		}},
 		{violationWaitNotOver, "safe", func(n *Node, _ *activeMessage, _ *Entry) { n.guard.noteWait(1, time.Minute) }},
 		{violationAttemptsUsedUp, "safe", func(_ *Node, m *activeMessage, _ *Entry) { m.attempts = 3 }},
-		{violationDeadlinePassed, "safe", func(n *Node, m *activeMessage, _ *Entry) { m.msg.Deadline = n.clock.Now() - 1 }},
+		{violationDeadlinePassed, "safe", func(n *Node, m *activeMessage, _ *Entry) {
+			late := *m.msg
+			late.Deadline = n.clock.Now() - 1
+			m.msg = &late
+		}},
 		{noViolation, "safe", func(_ *Node, _ *activeMessage, e *Entry) { e.MayHaveRun = true }},
 		{violationRepeatUnsafe, "unsafe", func(_ *Node, _ *activeMessage, e *Entry) { e.MayHaveRun = true }},
 		{violationRepeatLate, "keyed", func(n *Node, _ *activeMessage, e *Entry) {
@@ -48,9 +52,9 @@
 			Deadline: n.clock.Now() + time.Minute.Microseconds(),
 			Body:     []byte("x"),
 		}
-		mustAppend(t, n.journal, record{Op: opAccept, Entry: &Entry{Message: msg}})
+		mustAppend(t, n.journal, record{Op: opAccept, Entry: &Entry{Message: &msg}})
 		entry := n.journal.Entry(id)
-		m := &activeMessage{msg: &entry.Message}
+		m := &activeMessage{msg: entry.Message}
 		test.breakRule(n, m, entry)
 		n.stepTime = n.clock.Now()
 		if got := n.guard.allowSend(m, 1); got != (test.rule == noViolation) {
@@ -100,13 +104,13 @@
 	n := newIdleNode(t, newEndpoint(t))
 	for _, id := range []string{"ran", "late"} {
 		m := Message{ID: id, Class: "unsafe", Dest: 1, Deadline: n.clock.Now() - time.Second.Microseconds()}
-		mustAppend(t, n.journal, record{Op: opAccept, Entry: &Entry{Message: m}})
+		mustAppend(t, n.journal, record{Op: opAccept, Entry: &Entry{Message: &m}})
 	}
 	e := n.journal.Entry("ran")
 	e.MayHaveRun = true
-	n.guard.checkEnd(&activeMessage{msg: &e.Message}, Notice{ID: "ran", State: noticeReturned})
+	n.guard.checkEnd(&activeMessage{msg: e.Message}, Notice{ID: "ran", State: noticeReturned})
 	n.guard.checkReject("ran")
-	n.active["late"] = &activeMessage{msg: &n.journal.Entry("late").Message}
+	n.active["late"] = &activeMessage{msg: n.journal.Entry("late").Message}
 	n.guard.checkOverdue()
 	n.guard.checkOverdue()
 	for _, v := range []violation{violationReturnedMayHaveRun, violationRejectedAccepted, violationOverdue} {
--- a/internal/node/handover.go
+++ b/internal/node/handover.go
@@ -47,7 +47,7 @@
 
 // activeMessageState is an activeMessage in a handoverState.
 type activeMessageState struct {
-	Message    Message      // without its body, which is in the journal
+	Message    *Message     // without its body, which is in the journal
 	Attempts   int          `json:"Tries"`
 	Ended      bool         `json:"Over"`
 	ReceivedAt int64        `json:"Came"` // on the persistent clock
@@ -204,10 +204,12 @@
 func (n *Node) restoreHandover(state *handoverState) error {
 	active := map[string]*activeMessage{}
 	openCount := 0
-	for i := range state.Active {
-		saved := &state.Active[i]
+	for _, saved := range state.Active {
+		if saved.Message == nil {
+			return errors.New("a message was handed over without its id")
+		}
 		m := &activeMessage{
-			msg:      &saved.Message,
+			msg:      saved.Message,
 			attempts: saved.Attempts,
 			ended:    saved.Ended,
 			log:      attemptLog{n.clock.Time(saved.ReceivedAt), []byte(saved.AttemptLog)},
@@ -217,7 +219,7 @@
 			if e == nil || e.End != nil {
 				return fmt.Errorf("message %s is not in the journal", saved.Message.ID)
 			}
-			m.msg = &e.Message
+			m.msg = e.Message
 			openCount++
 		}
 		if c := saved.Call; c != nil {
@@ -279,7 +281,7 @@
 		case in.Put != nil && in.Put.Message != nil:
 			pending := make(chan string, 1)
 			go p.sendReply(workCtx, in.Put.Seq, pending)
-			event = putEvent{*in.Put.Message, pending}
+			event = putEvent{in.Put.Message, pending}
 		default:
 			event = predecessorEvent{from: p, packet: in}
 		}
@@ -493,13 +495,12 @@
 	}
 	for _, m := range n.active {
 		saved := activeMessageState{
-			Message:    *m.msg,
+			Message:    m.msg.withoutBody(),
 			Attempts:   m.attempts,
 			Ended:      m.ended,
 			ReceivedAt: n.clock.Micros(m.log.receivedAt),
 			AttemptLog: string(m.log.text),
 		}
-		saved.Message.Body = nil
 		if m.call != nil {
 			c := newRelayedCall(m.call)
 			saved.Call = &c
@@ -615,7 +616,7 @@
 		}
 		r.lastSeq++
 		r.waiting[r.lastSeq] = ev.reply
-		p.Put = &relayedPut{Seq: r.lastSeq, Message: &ev.msg}
+		p.Put = &relayedPut{Seq: r.lastSeq, Message: ev.msg}
 	case predecessorEvent: // from a predecessor that still has calls in flight
 		for _, result := range ev.from.results(ev) {
 			r.forward(result)
--- a/internal/node/handover_test.go
+++ b/internal/node/handover_test.go
@@ -328,7 +328,7 @@
 				Deadline: time.Now().Add(time.Minute).UnixMicro(),
 				Body:     []byte("x"),
 			}
-			if err := j.Append([]record{{Op: opAccept, Entry: &Entry{Message: m}}}); err != nil {
+			if err := j.Append([]record{{Op: opAccept, Entry: &Entry{Message: &m}}}); err != nil {
 				t.Fatal(err)
 			}
 			proc := launchProcess(t, fixture.platform, fixture.dir, fixture.known)
@@ -433,7 +433,7 @@
 	owner, n := newStoppedNode(t, t.TempDir()), newStoppedNode(t, t.TempDir())
 	rec := acceptRecord("a", 10)
 	mustAppend(t, n.journal, rec)
-	owner.active["a"] = &activeMessage{msg: &rec.Entry.Message}
+	owner.active["a"] = &activeMessage{msg: rec.Entry.Message}
 	owner.attemptStarted(owner.active["a"], &call{id: "a", endpoint: 7, state: new(atomic.Int32)}, func() {})
 	state, err := owner.collectHandoverState()
 	if err != nil {
--- a/internal/node/harness_test.go
+++ b/internal/node/harness_test.go
@@ -337,6 +337,12 @@
 	for _, f := range options {
 		f(n)
 	}
+	return runNode(t, n)
+}
+
+// runNode runs a sender and waits until it serves clients.
+func runNode(t *testing.T, n *Node) *testNode {
+	t.Helper()
 	ctx, stop := context.WithCancel(context.Background())
 	node := &testNode{Node: n, stop: stop, done: make(chan error, 1)}
 	go func() { node.done <- n.Run(ctx) }()
@@ -424,3 +430,8 @@
 	n := startNode(t, p, t.TempDir(), known, options...)
 	return n, dialClient(t, n.addr), p, eps
 }
+
+// testLog returns a log that the test prints if it fails.
+func testLog(t *testing.T) *slog.Logger {
+	return slog.New(slog.NewTextHandler(t.Output(), nil))
+}
--- a/internal/node/journal.go
+++ b/internal/node/journal.go
@@ -16,18 +16,6 @@
 	"rundeal/internal/clock"
 )
 
-// Message is a message as submitted by a client.
-type Message struct {
-	ID             string `json:"id"`
-	IdempotencyKey string `json:"key,omitempty"`
-	OrderKey       string `json:"order,omitempty"`
-	Class          string `json:"class"`
-	Tenant         string `json:"tenant,omitempty"`
-	Dest           int64  `json:"dest"`
-	Deadline       int64  `json:"deadline"` // microseconds on the persistent clock
-	Body           []byte `json:"body,omitempty"`
-}
-
 // States of a Notice.
 const (
 	noticeFailed   = "failed"
@@ -41,9 +29,10 @@
 	AfterMS int64  `json:"after_ms,omitempty"`
 }
 
-// Entry is the journal's state of a message that has not ended, or whose notice the platform has not confirmed yet.
+// Entry is the journal's state of a message that has not ended, or whose notice the platform has not confirmed yet. The
+// event loop owns it, except for the message, which it shares.
 type Entry struct {
-	Message
+	*Message                // without its body once the message is given up
 	Attempts        int     `json:"tries,omitempty"`
 	InFlight        bool    `json:"open,omitempty"`      // the last attempt has no outcome
 	MayHaveRun      bool    `json:"may_run,omitempty"`   // an earlier attempt may have run
@@ -263,7 +252,7 @@
 		}
 		return
 	case opAccept:
-		if rec.Entry == nil || j.entries[rec.Entry.ID] != nil {
+		if rec.Entry == nil || rec.Entry.Message == nil || j.entries[rec.Entry.ID] != nil {
 			return
 		}
 		e := rec.Entry
@@ -294,7 +283,7 @@
 		e.MayHaveRun = e.MayHaveRun || rec.MayHaveRun
 	case opGiveUp:
 		e.End = rec.Notice
-		e.Body = nil
+		e.Message = e.Message.withoutBody() // a call that has not ended may still hold the message itself
 		j.liveBytes -= int64(e.size - 512)
 		e.size = 512
 	case opDone, opNoticeConfirmed:
--- a/internal/node/journal_test.go
+++ b/internal/node/journal_test.go
@@ -21,7 +21,7 @@
 }
 
 func acceptRecord(id string, body int) record {
-	return record{Op: opAccept, Entry: &Entry{Message: Message{ID: id, Class: "safe", Dest: 1, Deadline: 1,
+	return record{Op: opAccept, Entry: &Entry{Message: &Message{ID: id, Class: "safe", Dest: 1, Deadline: 1,
 		Body: bytes.Repeat([]byte("b"), body)}}}
 }
 
@@ -217,7 +217,7 @@
 	p, e, dir, known := newSingleEndpoint(t)
 	j := openJournal(t, dir, 3e6)
 	for _, id := range []string{"ran", "waits"} {
-		mustAppend(t, j, record{Op: opAccept, Entry: &Entry{Message: Message{
+		mustAppend(t, j, record{Op: opAccept, Entry: &Entry{Message: &Message{
 			ID:       id,
 			Class:    "removed",
 			Dest:     1,
--- a/internal/node/loop.go
+++ b/internal/node/loop.go
@@ -433,9 +433,9 @@
 			n.endUnknownClass(e)
 			continue
 		}
-		n.active[e.ID] = &activeMessage{msg: &e.Message, attempts: e.Attempts, log: attemptLog{receivedAt: time.Now()}}
+		n.active[e.ID] = &activeMessage{msg: e.Message, attempts: e.Attempts, log: attemptLog{receivedAt: time.Now()}}
 		n.openCount++
-		m := n.logicMessage(&e.Message)
+		m := n.logicMessage(e.Message)
 		m.History = logic.History{Accepted: true, Attempts: e.Attempts, MayHaveRun: e.MayHaveRun || e.InFlight}
 		if m.History.MayHaveRun {
 			m.History.Zone = e.FirstMayRunZone
@@ -511,17 +511,16 @@
 		ev.reply <- replyOK
 		return
 	}
-	if reply := n.admissionReply(&ev.msg); reply != "" {
+	if reply := n.admissionReply(ev.msg); reply != "" {
 		n.guard.checkReject(id)
 		n.metrics.countResult(ev.msg.Class, reply)
 		ev.reply <- reply
 		return
 	}
-	m := ev.msg
-	n.active[id] = &activeMessage{msg: &m, log: attemptLog{receivedAt: time.Now()}}
+	n.active[id] = &activeMessage{msg: ev.msg, log: attemptLog{receivedAt: time.Now()}}
 	n.openCount++
 	n.pendingPuts = append(n.pendingPuts, ev)
-	n.pendingEvents = append(n.pendingEvents, n.logicMessage(&m))
+	n.pendingEvents = append(n.pendingEvents, n.logicMessage(ev.msg))
 }
 
 // admissionReply returns the reply to a message that is rejected without asking package logic, or "" to admit it.
@@ -759,8 +758,7 @@
 	replies := n.immediateReplies(actions)
 	for i, p := range n.pendingPuts {
 		if replies[p.msg.ID] == "" && !n.isRepeatedPut(i) {
-			m := p.msg
-			n.pendingRecords = append(n.pendingRecords, record{Op: opAccept, Entry: &Entry{Message: m}})
+			n.pendingRecords = append(n.pendingRecords, record{Op: opAccept, Entry: &Entry{Message: p.msg}})
 		}
 	}
 	for _, a := range actions {
--- a/internal/node/node_test.go
+++ b/internal/node/node_test.go
@@ -105,7 +105,7 @@
 		Instances: []Instance{{ID: "s", HostPort: "127.0.0.1:1", Dest: 1, Lifecycle: "up"}},
 	}, time.Now())
 	reply := make(chan string, 1)
-	put := putEvent{Message{ID: "a", Class: "safe", Dest: 1, Body: make([]byte, 100)}, reply}
+	put := putEvent{&Message{ID: "a", Class: "safe", Dest: 1, Body: make([]byte, 100)}, reply}
 	n.openCount = cfg.Deployment.Settings.MaxOpen
 	if n.handlePut(put); receive(t, reply, "reply") != "-BUSY\r\n" {
 		t.Error("accepted above max_open")
--- a/internal/node/window_test.go
+++ b/internal/node/window_test.go
@@ -30,7 +30,7 @@
 	j := openJournal(t, dir, 3e6)
 	now := time.Now()
 	accepted := func(id, class string) record {
-		return record{Op: opAccept, Entry: &Entry{Message: Message{
+		return record{Op: opAccept, Entry: &Entry{Message: &Message{
 			ID:             id,
 			IdempotencyKey: "key-" + id,
 			Class:          class,
@@ -97,7 +97,7 @@
 	j := openJournal(t, cfg.StateDir, 3e6)
 	first := time.Now().Add(testTimeout)
 	mustAppend(t, j,
-		record{Op: opAccept, Entry: &Entry{Message: Message{
+		record{Op: opAccept, Entry: &Entry{Message: &Message{
 			ID:             "m",
 			IdempotencyKey: "k",
 			Class:          "keyed",
@@ -105,7 +105,7 @@
 			Deadline:       first.Add(testTimeout).UnixMicro(),
 		}}},
 		record{Op: opSend, ID: "m", At: first.UnixMicro()},
-		record{Op: opAccept, Entry: &Entry{Message: Message{
+		record{Op: opAccept, Entry: &Entry{Message: &Message{
 			ID:             "over",
 			IdempotencyKey: "l",
 			Class:          "keyed",
