Let watches and notices pause after a response, so that the transport sees unsolicited data

Saw: a second 204 confirmed the next notice, to which the platform had not responded; a copy of a list was taken for the response to the next watch, and noise failed that watch. Cause: http.Transport returns a connection to its pool before it looks whether more data follows, and closes it for such data only while it is idle. The next watch begins at once, and so does the next notice if one waits. Evidence: TestUnsolicitedDataAfterNotice failed before in the six rounds with a copy that comes later, TestUnsolicitedDataAfterList in the twelve rounds that come later. A watch that ends closes its idle connection, which could stay open behind it: TestChangeTakesEffectAfterAnyFailure failed once for that on the way. What the standard library logs (the transport does, about such data) goes through the sender's log, which never blocks.

--- a/cmd/cometrack/main.go
+++ b/cmd/cometrack/main.go
@@ -20,6 +20,7 @@
 	signal.Ignore(syscall.SIGPIPE) // the log reader may have exited
 	logOutput := newLogWriter(os.Stderr)
 	log := slog.New(slog.NewTextHandler(logOutput, nil))
+	slog.SetDefault(log) // also for what the standard library logs
 	err := run(log, hup)
 	if err != nil {
 		log.Error("cometrack", "err", err)
--- a/internal/node/discovery.go
+++ b/internal/node/discovery.go
@@ -317,6 +317,7 @@
 		w.retriesLeft = addressChangeRetries
 	}
 	go func() {
+		defer d.client.CloseIdleConnections()
 		defer stop()
 		w.run(ctx)
 	}()
@@ -338,8 +339,8 @@
 	return min(max(minStartSpread, time.Duration(d.senders)*startSpreadPerSender), maxStartSpread)
 }
 
-// listWatch is a sequence of long-polling calls. Each follows the previous response immediately, so that no change is
-// missed in between.
+// listWatch is a sequence of long-polling calls. Each follows the previous response soon enough for discovery to
+// continue the watch, so that no change is missed in between.
 type listWatch struct {
 	client      *discoveryClient
 	baseURL     string
@@ -384,9 +385,11 @@
 		w.generation, w.hasList, w.retriesLeft = list.Generation, true, 0
 		healthy, logged = true, false
 		w.client.events <- listEvent{list: list, epoch: w.epoch}
+		pause := reuseDelay
 		if len(list.Instances) == 0 && time.Since(start) < emptyResponsePause {
-			sleepContext(ctx, jitter(emptyResponsePause))
+			pause = jitter(emptyResponsePause)
 		}
+		sleepContext(ctx, pause)
 	}
 }
 
@@ -414,6 +417,8 @@
 	var list EndpointList
 	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
+	ctx, acknowledgeResponse := withAcknowledgment(ctx)
+	defer acknowledgeResponse()
 	req, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
 	if err != nil {
 		return list, err
--- a/internal/node/notices.go
+++ b/internal/node/notices.go
@@ -116,6 +116,7 @@
 			case <-ctx.Done():
 				return
 			}
+			sleepContext(ctx, reuseDelay)
 			continue
 		}
 		select {
@@ -144,6 +145,7 @@
 	if n == 0 {
 		return 0, nil
 	}
+	ctx, acknowledgeResponse := withAcknowledgment(ctx)
 	req, err := http.NewRequestWithContext(ctx, http.MethodPost, url, bytes.NewReader(body))
 	if err != nil {
 		return 0, err
@@ -157,6 +159,7 @@
 	if _, err := io.Copy(io.Discard, io.LimitReader(resp.Body, maxNoticeBody)); err != nil {
 		return 0, err
 	}
+	acknowledgeResponse()
 	if resp.StatusCode != http.StatusNoContent {
 		return 0, fmt.Errorf("platform responded with %s", resp.Status)
 	}
--- a/internal/node/unsolicited.go
+++ b/internal/node/unsolicited.go
@@ -1,7 +1,10 @@
 package node
 
 import (
+	"context"
 	"net"
+	"net/http/httptrace"
+	"sync/atomic"
 	"syscall"
 	"time"
 )
@@ -30,3 +33,15 @@
 		syscall.SetsockoptInt(int(fd), syscall.IPPROTO_TCP, syscall.TCP_QUICKACK, 1)
 	})
 }
+
+// withAcknowledgment returns a context for a request of an http.Client, and a function that acknowledges the response
+// once it has been read. The client itself closes an idle connection on which data arrives.
+func withAcknowledgment(ctx context.Context) (requestCtx context.Context, acknowledgeResponse func()) {
+	var conn atomic.Pointer[net.Conn]
+	trace := &httptrace.ClientTrace{GotConn: func(info httptrace.GotConnInfo) { conn.Store(&info.Conn) }}
+	return httptrace.WithClientTrace(ctx, trace), func() {
+		if c := conn.Load(); c != nil {
+			acknowledge(*c)
+		}
+	}
+}
--- a/internal/node/unsolicited_test.go
+++ b/internal/node/unsolicited_test.go
@@ -1,11 +1,14 @@
 package node
 
 import (
+	"bufio"
 	"bytes"
 	"encoding/json"
 	"fmt"
 	"io"
 	"net"
+	"net/http"
+	"slices"
 	"testing"
 	"time"
 
@@ -110,3 +113,142 @@
 		}
 	}
 }
+
+// rawPlatform is a platform on plain sockets, whose responses are written by the test.
+type rawPlatform struct {
+	addr     string
+	requests chan *rawRequest
+}
+
+// rawRequest is a request to a rawPlatform. Its connection is read on once answered is closed.
+type rawRequest struct {
+	*http.Request
+	body     string
+	conn     *net.TCPConn
+	answered chan struct{}
+}
+
+func newRawPlatform(t *testing.T) *rawPlatform {
+	t.Helper()
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { ln.Close() })
+	p := &rawPlatform{addr: ln.Addr().String(), requests: make(chan *rawRequest, 64)}
+	go func() {
+		for {
+			conn, err := ln.Accept()
+			if err != nil {
+				return
+			}
+			go p.serve(conn.(*net.TCPConn))
+		}
+	}()
+	return p
+}
+
+func (p *rawPlatform) serve(conn *net.TCPConn) {
+	defer conn.Close()
+	r := bufio.NewReader(conn)
+	for {
+		req, err := http.ReadRequest(r)
+		if err != nil {
+			return
+		}
+		body, err := io.ReadAll(req.Body)
+		if err != nil {
+			return
+		}
+		in := &rawRequest{req, string(body), conn, make(chan struct{})}
+		p.requests <- in
+		<-in.answered
+	}
+}
+
+// Guards against taking a second copy of the platform's response for its confirmation of the next notices.
+func TestUnsolicitedDataAfterNotice(t *testing.T) {
+	const confirmed = "HTTP/1.1 204 No Content\r\n\r\n"
+	for name, unsolicited := range map[string]string{
+		"copy":          confirmed,
+		"copy and body": "HTTP/1.1 204 No Content\r\nContent-Length: 5\r\n\r\nnoise",
+		"noise":         "\x00\x17 noise",
+	} {
+		for _, when := range unsolicitedDelays {
+			t.Run(name+" "+when.name, func(t *testing.T) {
+				t.Parallel()
+				p, events := newRawPlatform(t), make(chan any, 64)
+				q := newNoticeQueue(p.addr, testLog(t), events)
+				go q.run(t.Context())
+				for round := range 5 {
+					first, second := fmt.Sprint("first-", round), fmt.Sprint("second-", round)
+					q.add(Notice{ID: first, State: noticeFailed})
+					in := receive(t, p.requests, "notice")
+					q.add(Notice{ID: second, State: noticeFailed}) // sent as soon as the first is confirmed
+					go func() {
+						writeWithUnsolicited(in.conn, confirmed, unsolicited, when.delay, when.noDelay)
+						close(in.answered)
+					}()
+					expectConfirmed(t, events, first)
+					in = receive(t, p.requests, "second notice")
+					in.conn.Close() // it gets no response
+					close(in.answered)
+					in = receive(t, p.requests, "second notice, sent again")
+					if len(events) != 0 {
+						t.Fatalf("%+v was confirmed without a response", <-events)
+					}
+					io.WriteString(in.conn, confirmed)
+					close(in.answered)
+					expectConfirmed(t, events, second)
+				}
+			})
+		}
+	}
+}
+
+// expectConfirmed checks that the next event is the confirmation of one notice.
+func expectConfirmed(t *testing.T, events <-chan any, id string) {
+	t.Helper()
+	ev, ok := receive(t, events, "confirmation").(noticesConfirmedEvent)
+	if !ok || !slices.Equal(ev.ids, []string{id}) {
+		t.Fatalf("confirmed %+v, want %s", ev, id)
+	}
+}
+
+// Guards against taking what follows a list for the response to the next watch: the watch would fail or repeat an old
+// list, and a change would take effect late.
+func TestUnsolicitedDataAfterList(t *testing.T) {
+	listResponse := func(generation int) string {
+		body := fmt.Sprintf(`{"generation":%d,"reset":true,"instances":[{"instanceId":"s-%d"}]}`, generation, generation)
+		return fmt.Sprintf("HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", len(body), body)
+	}
+	for _, pushed := range []bool{true, false} {
+		for _, noise := range []bool{true, false} {
+			for _, when := range unsolicitedDelays {
+				t.Run(fmt.Sprint("pushed ", pushed, " noise ", noise, " ", when.name), func(t *testing.T) {
+					t.Parallel()
+					p, events := newRawPlatform(t), make(chan any, 64)
+					d := newDiscoveryClient(p.addr, 1, testLog(t), events)
+					d.pushed = pushed
+					d.startWatch(t.Context())
+					for generation := 1; generation <= 8; generation++ {
+						in := receive(t, p.requests, "request for the list")
+						if from := in.URL.Query().Get("from"); generation > 1 && from != fmt.Sprint(generation-1) {
+							t.Fatalf("watch from generation %s, want %d", from, generation-1)
+						}
+						unsolicited := listResponse(generation)
+						if noise {
+							unsolicited = "\x00\x17 noise"
+						}
+						writeWithUnsolicited(in.conn, listResponse(generation), unsolicited, when.delay, when.noDelay)
+						close(in.answered)
+						ev := receive(t, events, "list").(listEvent)
+						if ev.err != nil || ev.list.Generation != int64(generation) {
+							t.Fatalf("got generation %d and error %v, want %d", ev.list.Generation, ev.err, generation)
+						}
+					}
+				})
+			}
+		}
+	}
+}
