End connections that are never idle when the sender drains

Cause: a connection ended only at a moment without a byte of a further request. awaitRequest returns at once while the reader has buffered data, requestDone counts it as a request being read, and closeIdleLocked passes such a connection over. Change: 2 s after idle connections began to be closed, or after a later connection opened, the next request is the last: it is answered, takes no message (-BUSY: handing it in elsewhere does no harm), and the connection closes after the reply. A request on the way then has 0.2 s. The same holds for a shutdown and a handover. Tests of internal/node pass.

--- a/internal/node/admin_test.go
+++ b/internal/node/admin_test.go
@@ -254,3 +254,87 @@
 		t.Errorf("resume of a stopping sender: %q", got)
 	}
 }
+
+// busyClient writes requests without waiting for the replies, so that there is always one that has begun to arrive.
+type busyClient struct {
+	requests  int // in each write
+	interval  time.Duration
+	sameID    bool // all requests have the same message
+	straddled bool // each write ends in the middle of a request
+}
+
+// write writes requests until the sender has ended the connection.
+func (b busyClient) write(conn net.Conn, ended <-chan struct{}) {
+	rest, id := "", 0
+	for {
+		text := rest
+		for range b.requests {
+			text += fmt.Sprintf("*5\r\n$7\r\nMSG.PUT\r\n$1\r\n0\r\n$6\r\n%06d\r\n$20\r\nc=safe,d=9000,dest=1\r\n$1\r\nx\r\n", id)
+			if !b.sameID {
+				id++
+			}
+		}
+		if b.straddled {
+			half := len(text) - 30
+			text, rest = text[:half], text[half:]
+		}
+		if _, err := io.WriteString(conn, text); err != nil {
+			return
+		}
+		select {
+		case <-ended:
+			return
+		case <-time.After(b.interval):
+		}
+	}
+}
+
+// Guards against a drain that does not end: a client always has the start of its next request on the way, so that its
+// connection is never idle. Each request that was read gets its reply, and each message with +OK is delivered.
+func TestDrainEndsBusyConnections(t *testing.T) {
+	for name, client := range map[string]busyClient{
+		"pieces":    {requests: 1, interval: 25 * time.Millisecond, straddled: true},
+		"pipelined": {requests: 64, interval: 5 * time.Millisecond, sameID: true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			n, c, p, e := startNodeWithEndpoints(t, 1, func(n *Node) { n.cfg.Deployment.Settings.MaxOpen = 0 })
+			addr := startAdmin(t, n.Node)
+			go func() {
+				for in := range e[0].calls {
+					in.reply(200)
+				}
+			}()
+			ended := make(chan struct{})
+			go client.write(c.conn, ended)
+			if got := c.readLine(); got != "+OK" {
+				t.Fatalf("first reply %q", got)
+			}
+			start := time.Now()
+			if got := adminCommand(t, addr, "drain\n"); got != "+OK\n" {
+				t.Fatalf("drain: %q", got)
+			}
+			last := ""
+			for reply := "+OK"; reply != ""; reply = c.readLine() {
+				if last = reply; reply != "+OK" && !strings.HasPrefix(reply, "-BUSY") {
+					t.Errorf("reply %q", reply)
+				}
+			}
+			close(ended)
+			if took := time.Since(start); took > 4*time.Second {
+				t.Errorf("the connection ended %v after the drain", took)
+			}
+			if last != "-BUSY" {
+				t.Errorf("the last reply is %q", last)
+			}
+			if got := adminCommand(t, addr, "resume\n"); got != "+OK\n" {
+				t.Errorf("resume: %q", got)
+			}
+			dialClient(t, n.addr).put("after", "safe", "+OK")
+			stopAndCheckEmpty(t, n)
+			if len(p.notices) != 0 {
+				t.Errorf("not delivered: %+v", <-p.notices)
+			}
+		})
+	}
+}
--- a/internal/node/clients.go
+++ b/internal/node/clients.go
@@ -44,6 +44,8 @@
 	readCutoff     time.Time      // no request is accepted after this; zero for no limit
 	acceptDone     chan struct{}  // closed when no more connections are accepted
 	wg             sync.WaitGroup // sessions
+
+	closingIdleSince time.Time
 }
 
 func newClientServer(cfg *Config, log *slog.Logger, events chan<- any, metrics *metrics) *clientServer {
--- a/internal/node/close_test.go
+++ b/internal/node/close_test.go
@@ -254,8 +254,10 @@
 		at := time.Now().Add(minRequestTime / 2)
 		s.server.stopReadingAt(at)
 		for _, first := range []bool{true, false} {
-			if by := s.requestDeadline(first); by.After(at) {
-				t.Errorf("first %v: read until %v after the cutoff", first, by.Sub(at))
+			for _, last := range []bool{true, false} {
+				if by := s.requestDeadline(first, last); by.After(at) {
+					t.Errorf("first %v, last %v: read until %v after the cutoff", first, last, by.Sub(at))
+				}
 			}
 		}
 	})
@@ -267,7 +269,7 @@
 			t.Fatal(err)
 		}
 		s.server.stopReadingAt(time.Now())
-		if a := s.server.execute(args); a.line != "-BUSY\r\n" || len(events) != 0 {
+		if a := s.server.execute(args, false); a.line != "-BUSY\r\n" || len(events) != 0 {
 			t.Errorf("got %q, %d passed on", a.line, len(events))
 		}
 	})
--- a/internal/node/drain.go
+++ b/internal/node/drain.go
@@ -8,6 +8,10 @@
 const (
 	closeIdleDelay = 500 * time.Millisecond // from the first refused PING until idle connections are closed
 	newConnTimeout = time.Second            // from then on, for the first request on a new connection to begin
+
+	// maxClosingTime is how long a connection without an idle moment stays in use once idle connections are closed.
+	// Operators expect it to end within 4 s of their call, delays and a lingering close included.
+	maxClosingTime = 2 * time.Second
 )
 
 // phase is the state of client service. It is shared by PING, the operators' ready call, the readers of clients'
@@ -84,7 +88,7 @@
 
 // closeIdleLocked shortens the read deadlines of connections that have no request partly read; c.mu must be held.
 func (c *clientServer) closeIdleLocked() {
-	c.closingIdle = true
+	c.closingIdle, c.closingIdleSince = true, time.Now()
 	for s := range c.sessions {
 		if !s.readingRequest { // a request that has begun to arrive is read to its end
 			s.conn.SetReadDeadline(s.idleDeadline(time.Now()))
@@ -111,6 +115,28 @@
 	return now.Add(timeout)
 }
 
+// closeBy returns the time by which the connection ends even if it is never idle, and false if there is none. The lock of
+// clientServer must be held.
+func (s *session) closeBy() (at time.Time, ok bool) {
+	if !s.server.closingIdle {
+		return time.Time{}, false
+	}
+	start := s.server.closingIdleSince
+	if s.openedAt.After(start) {
+		start = s.openedAt
+	}
+	return start.Add(maxClosingTime), true
+}
+
+// isLastRequest reports whether the request that has begun to arrive is the last one on the connection: others have
+// arrived without a pause until closeBy.
+func (s *session) isLastRequest() bool {
+	s.server.mu.Lock()
+	defer s.server.mu.Unlock()
+	closeBy, ok := s.closeBy()
+	return ok && !time.Now().Before(closeBy)
+}
+
 // stopReadingAt sets the time after which no request is accepted. Clients keep sending for as long as a connection is
 // open, and a request must not arrive when the loop can no longer reply to it.
 func (c *clientServer) stopReadingAt(at time.Time) {
--- a/internal/node/session.go
+++ b/internal/node/session.go
@@ -94,19 +94,23 @@
 		} else if n > 0 {
 			time.Sleep(time.Duration(n) * errorDelay)
 		}
-		s.conn.SetReadDeadline(s.requestDeadline(first))
+		last := s.isLastRequest()
+		s.conn.SetReadDeadline(s.requestDeadline(first, last))
 		large := false
 		args, err := readCommand(r, func() error {
 			err := s.acquireLargeSlot()
 			large = err == nil
 			return err
 		})
-		s.requestDone(err == nil && r.Buffered() > 0)
+		s.requestDone(err == nil && !last && r.Buffered() > 0)
 		switch {
 		case err == nil:
-			a := s.server.execute(args)
-			a.large = large
-			replies <- a
+			reply := s.server.execute(args, last)
+			reply.large = large
+			replies <- reply
+			if last {
+				return closedDraining
+			}
 			first = false
 			continue
 		case errors.Is(err, errProtocol):
@@ -115,6 +119,9 @@
 		case errors.Is(err, errLargeRequestLimit):
 			replies <- clientReply{line: busyReply(0)}
 			return closedNoCapacity
+		case last && errors.Is(err, os.ErrDeadlineExceeded):
+			replies <- clientReply{line: busyReply(0), large: large}
+			return closedDraining
 		case errors.Is(err, os.ErrDeadlineExceeded):
 			replies <- clientReply{line: replyRequestTimeout, large: large}
 			return closedTimeout
@@ -124,8 +131,9 @@
 	}
 }
 
-// requestDeadline returns the time by which the request that has begun to arrive must be complete.
-func (s *session) requestDeadline(first bool) time.Time {
+// requestDeadline returns the time by which the request that has begun to arrive must be complete. first and last tell
+// whether it is the first or the last one on the connection.
+func (s *session) requestDeadline(first, last bool) time.Time {
 	deadline := time.Now().Add(requestTimeout)
 	if first {
 		deadline = s.openedAt.Add(firstRequestTimeout)
@@ -135,12 +143,26 @@
 	}
 	s.server.mu.Lock()
 	defer s.server.mu.Unlock()
-	if cutoff := s.server.readCutoff; !cutoff.IsZero() && cutoff.Before(deadline) {
-		return cutoff
+	if closeBy, ok := s.closeBy(); ok {
+		deadline = earlier(deadline, closeBy.Add(minRequestTime))
+	}
+	if last {
+		deadline = time.Now().Add(minRequestTime)
+	}
+	if cutoff := s.server.readCutoff; !cutoff.IsZero() {
+		deadline = earlier(deadline, cutoff)
 	}
 	return deadline
 }
 
+// earlier returns the earlier of two times.
+func earlier(a, b time.Time) time.Time {
+	if b.Before(a) {
+		return b
+	}
+	return a
+}
+
 // errLargeRequestLimit is returned when too many large requests are open.
 var errLargeRequestLimit = errors.New("too many large requests")
 
@@ -267,8 +289,8 @@
 	io.Copy(io.Discard, io.LimitReader(s.conn, maxLingerBytes))
 }
 
-// execute carries out a request.
-func (c *clientServer) execute(args [][]byte) clientReply {
+// execute carries out a request. If rejectPuts is set, it takes no message.
+func (c *clientServer) execute(args [][]byte, rejectPuts bool) clientReply {
 	switch cmd := strings.ToUpper(string(args[0])); cmd {
 	case "PING":
 		if phase := c.currentPhase(); phase != serving && phase != replaced {
@@ -287,9 +309,9 @@
 			return clientReply{line: "-ERR " + err.Error() + "\r\n"}
 		}
 		c.mu.Lock()
-		afterCutoff := c.pastReadCutoff()
+		rejectPuts = rejectPuts || c.pastReadCutoff() // the request was pipelined behind others that were read in time
 		c.mu.Unlock()
-		if afterCutoff { // the request was pipelined behind others that were read in time
+		if rejectPuts {
 			c.metrics.rejected.inc(string(rejectedStopping))
 			return clientReply{line: busyReply(0)}
 		}
