Pass a reload on to the successor, and never go back to an older configuration

Cause: relay.forward dropped a reloadEvent with what the successor receives by itself, but the successor reads its file for the last time when it takes over. Read on the related path: a reloadEvent carries the configuration as of its reading, so one that waits for the loop while reloadAfterTakeover reads a newer file put the older address back. Change: a predecessor tells its successor to read the configuration again (packet.Reload), also on behalf of its own predecessor. A reloadEvent says when its reading began, and an older one than that in use is ignored. Reading and applying a configuration is now all in reload.go.

--- a/internal/node/handover.go
+++ b/internal/node/handover.go
@@ -15,8 +15,8 @@
 
 // packet is what the two processes of a handover exchange after their greetings. First the owner sends its state, the
 // successor accepts it, and the owner releases its ownership. From then on the predecessor, as the former owner is
-// called, forwards what it receives from clients and endpoints, and the successor sends replies and cancellations. One
-// of the fields is set.
+// called, forwards what it receives from clients and endpoints and that its configuration is to be reloaded, and the
+// successor sends replies and cancellations. One of the fields is set.
 type packet struct {
 	State       *handoverState    `json:",omitempty"`
 	Accepted    bool              `json:"Understood,omitempty"`
@@ -27,6 +27,7 @@
 	Result      *relayedResult    `json:"Reply,omitempty"`  // to the successor: the result of a call
 	ProbeResult *probeResultEvent `json:"Health,omitempty"` // to the successor: the outcome of a probe
 	Cancel      *relayedCall      `json:",omitempty"`       // to the predecessor: cancel a call
+	Reload      bool              `json:",omitempty"`       // to the successor: read the configuration again
 }
 
 // handoverState is the part of the owner's state that is not in the journal.
@@ -351,6 +352,9 @@
 			Outcome:  ev.ProbeResult.Outcome,
 		})
 	}
+	if ev.Reload && n.loadConfig != nil {
+		n.requestReload()
+	}
 }
 
 // ---- The owner's side, and the predecessor's after the handover ----------------------
@@ -621,7 +625,10 @@
 		for _, result := range ev.from.results(ev) {
 			r.forward(result)
 		}
-		return
+		if !ev.Reload {
+			return
+		}
+		p.Reload = true
 	case attemptResultEvent:
 		c, result := ev.call, ev.result
 		if m := r.node.active[c.id]; m != nil && m.call == c {
@@ -638,6 +645,8 @@
 		}
 	case probeResultEvent:
 		p.ProbeResult = &ev
+	case reloadEvent: // the platform may have signalled this process only
+		p.Reload = true
 	default: // lists and confirmed notices: the successor receives its own
 		return
 	}
--- a/internal/node/loop.go
+++ b/internal/node/loop.go
@@ -94,6 +94,7 @@
 	startedAt       time.Time   // start of the process
 	logicEpoch      time.Time   // zero of the clock of package logic
 	startup         startupTimer
+	configReadAt    time.Time // when reading the configuration in use began; zero for the one of the start
 	active          map[string]*activeMessage
 	openCount       int                       // number of active messages that have not ended
 	inFlight        map[string]*activeMessage // active messages with an attempt in flight
@@ -298,23 +299,6 @@
 	}
 }
 
-// reloadAfterTakeover applies a configuration that may have been replaced while this process waited to take over.
-func (n *Node) reloadAfterTakeover() {
-	if n.loadConfig == nil {
-		return
-	}
-	cfg, err := n.loadConfig()
-	if err != nil {
-		n.log.Warn("cannot read the configuration; keeping the one loaded at startup until it can be read", "err", err)
-		n.requestReload()
-		return
-	}
-	if cfg.DiscoveryAddr != n.discovery.addr {
-		n.notices.setAddr(cfg.DiscoveryAddr)
-		n.discovery.setAddr(cfg.DiscoveryAddr)
-	}
-}
-
 // shutDownClients closes the clients' connections gracefully. clientsClosed is closed when none is left, timedOut when
 // shutdownTimeout has passed since SIGTERM.
 func (n *Node) shutDownClients(workCtx context.Context) (clientsClosed, timedOut <-chan struct{}) {
@@ -487,7 +471,7 @@
 		n.pendingRecords = nil
 		n.writeRecords(records) // immediately: entries that are removed make room in the journal
 	case reloadEvent:
-		n.switchDiscovery(workCtx, ev.cfg)
+		n.applyReload(workCtx, ev)
 	case shutdownEvent:
 		n.shutdownAt = ev.at
 	case listenerEvent:
--- a/internal/node/reload.go
+++ b/internal/node/reload.go
@@ -7,7 +7,10 @@
 )
 
 // reloadEvent delivers a newly read configuration to the event loop.
-type reloadEvent struct{ cfg *Config }
+type reloadEvent struct {
+	cfg    *Config
+	readAt time.Time // when reading it began
+}
 
 // ReloadOn makes Run reload the configuration with load at each signal. Of the new configuration only the address of
 // discovery and notices takes effect; all other changes need a restart.
@@ -37,48 +40,78 @@
 		case <-n.reloadSignals:
 		case <-n.reloadRequested:
 		}
-		if cfg := n.loadWithRetry(ctx); cfg != nil {
-			n.events <- reloadEvent{cfg}
+		if ev, ok := n.loadWithRetry(ctx); ok {
+			n.events <- ev
 		}
 	}
 }
 
 // loadWithRetry tries to load the configuration until it succeeds: the old discovery address takes no more calls, and
-// the signal is not repeated. It returns nil if the configuration stays invalid for reloadTimeout; the old one then
+// the signal is not repeated. It returns false if the configuration stays invalid for reloadTimeout; the old one then
 // remains in use.
-func (n *Node) loadWithRetry(ctx context.Context) *Config {
+func (n *Node) loadWithRetry(ctx context.Context) (ev reloadEvent, ok bool) {
 	logged := false
 	start := time.Now()
 	for {
+		readAt := time.Now()
 		cfg, err := n.loadConfig()
 		if err == nil {
-			return cfg
+			return reloadEvent{cfg, readAt}, true
 		}
 		if !logged {
 			n.log.Error("reload: the old configuration stands", "err", err)
 			logged = true
 		}
 		if !isTransient(err) && time.Since(start) > reloadTimeout {
-			return nil
+			return ev, false
 		}
 		select {
 		case <-time.After(jitter(reloadRetryDelay)):
 		case <-n.reloadSignals: // the file has been replaced again
 			logged, start = false, time.Now()
 		case <-ctx.Done():
-			return nil
+			return ev, false
 		}
 	}
 }
 
-// switchDiscovery switches discovery and notices to the address in cfg.
-func (n *Node) switchDiscovery(workCtx context.Context, cfg *Config) {
-	if cfg.DiscoveryAddr == n.discovery.addr {
-		n.log.Info("reload: same discovery", "addr", cfg.DiscoveryAddr)
+// applyReload switches discovery and notices to the address in a newly read configuration.
+func (n *Node) applyReload(workCtx context.Context, ev reloadEvent) {
+	if n.setDiscovery(ev) {
+		n.discovery.startWatch(workCtx) // at once: the sender must soon act on the list at the new address
+	}
+}
+
+// setDiscovery sets the address of discovery and notices and reports whether it has changed. A configuration that was read
+// before the one in use is ignored: the process may have read its file itself when it took over.
+func (n *Node) setDiscovery(ev reloadEvent) (changed bool) {
+	addr := ev.cfg.DiscoveryAddr
+	if ev.readAt.Before(n.configReadAt) {
+		n.log.Info("reload: a later configuration is in use", "addr", addr)
+		return false
+	}
+	n.configReadAt = ev.readAt
+	if addr == n.discovery.addr {
+		n.log.Info("reload: same discovery", "addr", addr)
+		return false
+	}
+	n.log.Info("reload: discovery moves", "from", n.discovery.addr, "to", addr)
+	n.notices.setAddr(addr)
+	n.discovery.setAddr(addr)
+	return true
+}
+
+// reloadAfterTakeover applies a configuration that may have been replaced while this process waited to take over.
+func (n *Node) reloadAfterTakeover() {
+	if n.loadConfig == nil {
+		return
+	}
+	readAt := time.Now()
+	cfg, err := n.loadConfig()
+	if err != nil {
+		n.log.Warn("cannot read the configuration; keeping the one loaded at startup until it can be read", "err", err)
+		n.requestReload()
 		return
 	}
-	n.log.Info("reload: discovery moves", "from", n.discovery.addr, "to", cfg.DiscoveryAddr)
-	n.notices.setAddr(cfg.DiscoveryAddr)
-	n.discovery.setAddr(cfg.DiscoveryAddr)
-	n.discovery.startWatch(workCtx) // at once: the sender must soon act on the list at the new address
+	n.setDiscovery(reloadEvent{cfg, readAt})
 }
--- a/internal/node/reload_test.go
+++ b/internal/node/reload_test.go
@@ -6,10 +6,18 @@
 	"strings"
 	"syscall"
 	"testing"
+	"time"
 )
 
 // reload replaces the configuration file and sends SIGHUP.
 func (p *process) reload(text []byte) {
+	p.t.Helper()
+	p.replaceConfig(text)
+	p.cmd.Process.Signal(syscall.SIGHUP)
+}
+
+// replaceConfig replaces the configuration file.
+func (p *process) replaceConfig(text []byte) {
 	p.t.Helper()
 	if err := os.WriteFile(p.configPath+".new", text, 0o600); err != nil {
 		p.t.Fatal(err)
@@ -17,7 +25,6 @@
 	if err := os.Rename(p.configPath+".new", p.configPath); err != nil {
 		p.t.Fatal(err)
 	}
-	p.cmd.Process.Signal(syscall.SIGHUP)
 }
 
 // awaitLog waits for a log line that contains a text.
@@ -90,3 +97,80 @@
 	proc.terminate()
 	proc.awaitExit()
 }
+
+// Guards against a new configuration that never takes effect: after a handover only the predecessor gets the signal. The
+// platform signals the program that it started, and not one that is in its first second.
+func TestReloadSignalToPredecessor(t *testing.T) {
+	fixture := newUpgradeFixture(t)
+	fresh := newPlatform(t)
+	fresh.list = EndpointList{Generation: 7, Reset: true, Instances: instances(fixture.endpoint)}
+	proc := fixture.start()
+	c := dialClient(t, proc.addr)
+	c.put("u", "unsafe", "+OK")
+	in := receive(t, fixture.endpoint.calls, "call")
+	next := fixture.startStandby()
+	proc.terminate()
+	next.awaitReady()
+	next.replaceConfig(configText(fresh, fixture.known)) // both processes read the same file in service
+	proc.reload(configText(fresh, fixture.known))
+	if q := receive(t, fresh.listRequests, "call at the new address"); q != "" {
+		t.Errorf("requested %q, want the full list", q)
+	}
+	in.reply(500)
+	if notice := receive(t, fresh.notices, "notice at the new address"); notice != (Notice{ID: "u", State: "failed"}) {
+		t.Errorf("notice %+v", notice)
+	}
+	proc.awaitExit()
+	next.terminate()
+	next.awaitExit()
+}
+
+// A predecessor that has itself a predecessor passes a reload on, whichever of the two was signalled.
+func TestRelayForwardsReload(t *testing.T) {
+	dir := t.TempDir()
+	ln, err := listenHandover(dir)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer ln.Close()
+	l, err := dialOwner(dir)
+	if err != nil {
+		t.Fatal(err)
+	}
+	conn, err := ln.AcceptUnix()
+	if err != nil {
+		t.Fatal(err)
+	}
+	received := &link{conn: conn}
+	defer received.close()
+	r := relay{node: newStoppedNode(t, t.TempDir()), successor: &successor{link: l}}
+	defer l.close()
+	for _, ev := range []any{
+		reloadEvent{},
+		predecessorEvent{from: &predecessor{calls: map[string]*call{}}, packet: packet{Reload: true}},
+	} {
+		r.forward(ev)
+		var p packet
+		if err := received.read(&p, time.Now().Add(testTimeout)); err != nil || !p.Reload {
+			t.Errorf("%T: forwarded %+v, %v", ev, p, err)
+		}
+	}
+}
+
+// Guards against a configuration that replaces a newer one: a process that takes over reads its file itself, while an
+// earlier reload still waits for the event loop.
+func TestEarlierReloadIsIgnored(t *testing.T) {
+	n := newStoppedNode(t, t.TempDir())
+	earlier, later := *n.cfg, *n.cfg
+	earlier.DiscoveryAddr, later.DiscoveryAddr = "127.0.0.1:2", "127.0.0.1:3"
+	waiting := reloadEvent{&earlier, time.Now()}
+	n.loadConfig = func() (*Config, error) { return &later, nil }
+	n.reloadAfterTakeover()
+	if n.applyReload(t.Context(), waiting); n.discovery.addr != later.DiscoveryAddr {
+		t.Errorf("discovery at %s, want %s", n.discovery.addr, later.DiscoveryAddr)
+	}
+	earlier.DiscoveryAddr = "127.0.0.1:4"
+	if n.setDiscovery(reloadEvent{&earlier, time.Now()}); n.discovery.addr != earlier.DiscoveryAddr {
+		t.Errorf("after another reload: discovery at %s, want %s", n.discovery.addr, earlier.DiscoveryAddr)
+	}
+}
