soak: peers send unsolicited data, and a connection used after it breaks a rule

Change: in two of three runs a tenth or half of the good responses of endpoints, discovery and the platform are followed by a copy, a refusal or noise, in the same write or up to 12 ms later, unless a request has begun. Half of the peers' connections hold small writes back. A request that arrives on such a connection over 0.4 s later breaks the new rule "unsolicited"; one to discovery or the platform gets no response. The draw comes last, so the other faults of a seed stay as they were.

--- a/internal/soak/agent.go
+++ b/internal/soak/agent.go
@@ -4,6 +4,7 @@
 	"encoding/json"
 	"io"
 	"math"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"strconv"
@@ -114,6 +115,7 @@
 	pushed   bool
 
 	mu           sync.Mutex
+	rng          *rand.Rand // decides on unsolicited data
 	servers      [2]*http.Server
 	addrs        [2]string
 	active       int
@@ -132,11 +134,19 @@
 		checker:      checker,
 		registry:     r,
 		pushed:       checker.scenario.PushDiscovery,
+		rng:          rand.New(rand.NewPCG(checker.scenario.Seed, uint64(sender)<<32)),
 		faultChanged: make(chan struct{}),
 	}
 	return a, a.listen(0)
 }
 
+// chance returns a random number in [0, 1).
+func (a *discoveryAgent) chance() float64 {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.rng.Float64()
+}
+
 // listen starts a server on a new address and makes it the active one of the two.
 func (a *discoveryAgent) listen(i int) error {
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
@@ -146,11 +156,11 @@
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET /discovery/hosts", a.serveHosts)
 	mux.HandleFunc("POST /v1/outcomes", a.serveOutcomes)
-	srv := &http.Server{Handler: mux}
+	srv := &http.Server{Handler: mux, ConnState: a.followServer}
 	a.mu.Lock()
 	a.servers[i], a.addrs[i], a.active = srv, ln.Addr().String(), i
 	a.mu.Unlock()
-	go srv.Serve(ln)
+	go srv.Serve(peerListener{ln, a})
 	return nil
 }
 
--- a/internal/soak/checker.go
+++ b/internal/soak/checker.go
@@ -29,6 +29,7 @@
 	RuleCrash             Rule = "crash"          // the process exited unexpectedly
 	RuleNotReady          Rule = "not-ready"      // not ready in time after a start or the end of system faults
 	RuleIncompleteRequest Rule = "bad-client"     // an incomplete request got neither an error nor a close
+	RuleUnsolicited       Rule = "unsolicited"    // a connection was used again on which unsolicited data had arrived
 	RuleOwnCheck          Rule = "own-check"      // the sender's internal checks reported a violation
 )
 
--- a/internal/soak/checker_test.go
+++ b/internal/soak/checker_test.go
@@ -67,6 +67,11 @@
 			attempts, messages := c.recordCall(e, c.elapsed()+time.Second, []string{m.id}, []string{m.body})
 			c.recordEnd(attempts, messages, false, true)
 		}},
+		{RuleUnsolicited, func(c *Checker, _ *endpoint, m *message) {
+			m.deadline = runAge + time.Hour
+			conn := &peerConn{checker: c, unsolicitedAt: c.elapsed() - time.Second}
+			conn.beginRequest()
+		}},
 	} {
 		sc := Generate(1, 2, 10*time.Second, nil)
 		c := newChecker(sc, time.Now().Add(-runAge))
--- a/internal/soak/endpoint.go
+++ b/internal/soak/endpoint.go
@@ -115,6 +115,9 @@
 
 // resetConn closes a connection with a TCP reset.
 func resetConn(conn net.Conn) {
+	if c, ok := conn.(*peerConn); ok {
+		conn = c.Conn
+	}
 	if t, ok := conn.(*net.TCPConn); ok {
 		t.SetLinger(0)
 	}
@@ -140,7 +143,8 @@
 		e.conns[conn] = true
 		e.mu.Unlock()
 		go func() {
-			e.serveConn(conn)
+			_, chance := e.faultAndChance()
+			e.serveConn(newPeerConn(conn, e.checker, -1, chance))
 			e.mu.Lock()
 			delete(e.conns, conn)
 			e.mu.Unlock()
@@ -157,7 +161,7 @@
 }
 
 // serveConn reads and handles the requests of a connection.
-func (e *endpoint) serveConn(conn net.Conn) {
+func (e *endpoint) serveConn(conn *peerConn) {
 	r := bufio.NewReader(conn)
 	for {
 		idle := idleTimeout
@@ -168,6 +172,7 @@
 		if _, err := r.Peek(1); err != nil {
 			return
 		}
+		conn.beginRequest()
 		started := e.checker.elapsed()
 		conn.SetReadDeadline(time.Time{})
 		if kind, chance := e.faultAndChance(); kind == ConnectionResets && chance < 0.15 {
@@ -182,9 +187,13 @@
 		if err != nil {
 			return
 		}
+		_, chance := e.faultAndChance()
+		conn.setPlan(e.checker.scenario.planUnsolicited(chance))
 		if !e.handle(conn, r, req, body, started) {
 			return
 		}
+		conn.endResponse()
+		conn.awaitUnsolicited(r)
 	}
 }
 
--- a/internal/soak/scenario.go
+++ b/internal/soak/scenario.go
@@ -57,6 +57,7 @@
 	DrainGrace              time.Duration // how long calls are still allowed after an endpoint starts to drain
 	Recovery                Recovery
 	DiskMB                  float64 // disk space of a sender
+	UnsolicitedShare        float64 // share of the good responses after which a peer sends data that belongs to no request
 	Faults                  []Fault
 }
 
@@ -101,6 +102,10 @@
 	DiscoveryDown FaultKind = "discovery-down"
 	DiscoverySlow FaultKind = "discovery-slow"
 
+	// UnsolicitedData lasts for the whole of a run: some of the good responses of endpoints, discovery and the platform are
+	// followed by data that belongs to no request.
+	UnsolicitedData FaultKind = "unsolicited-data"
+
 	IncompleteRequests FaultKind = "half-requests"
 	CommandFloods      FaultKind = "floods"
 )
@@ -203,6 +208,9 @@
 	sc.addCoincidentFaults(rng, only)
 	slices.SortFunc(sc.Faults, func(a, b Fault) int { return int(a.From - b.From) })
 	sc.Faults = sc.withoutConflicts()
+	if unsolicitedShare := []float64{0, 0.1, 0.5}[rng.IntN(3)]; allowsKind(only, UnsolicitedData) {
+		sc.UnsolicitedShare = unsolicitedShare
+	}
 	return sc
 }
 
@@ -210,7 +218,7 @@
 // clock, disk faults, and destination outages, which leave undelivered messages that the restart could lose.
 func (sc *Scenario) addCoincidentFaults(rng *rand.Rand, only []FaultKind) {
 	add := func(fault Fault) {
-		if len(only) == 0 || slices.Contains(only, fault.Kind) {
+		if allowsKind(only, fault.Kind) {
 			fault.From = max(fault.From, 0)
 			sc.Faults = append(sc.Faults, fault)
 		}
@@ -249,6 +257,11 @@
 	}
 }
 
+// allowsKind reports whether a kind is in only, or only is empty.
+func allowsKind(only []FaultKind, kind FaultKind) bool {
+	return len(only) == 0 || slices.Contains(only, kind)
+}
+
 // randomClockOffset returns a random offset for a step of the wall clock.
 func randomClockOffset(rng *rand.Rand) time.Duration {
 	offsets := []time.Duration{
@@ -275,7 +288,7 @@
 		group := groups[rng.IntN(len(groups))]
 		kinds := faultGroups[group]
 		fault := Fault{Kind: kinds[rng.IntN(len(kinds))], Sender: -1, Destination: -1}
-		if len(only) > 0 && !slices.Contains(only, fault.Kind) {
+		if !allowsKind(only, fault.Kind) {
 			continue
 		}
 		fault.From = time.Duration(rng.Float64() * 0.85 * float64(sc.Duration))
