tests: no variable shared with a peer's goroutine, and the faulty program built first

Cause: under the race detector TestUnsolicitedDataAfterNotice wrote a variable that the goroutine of its peer read. TestWallClockStepAcrossRestart failed once where the program is built with the race detector too (a trial): the build of the faulty program, 20 s on a cold cache, used up the time of the messages that already waited. Change: a variable for each request; the faulty program is built before the first message. Nothing is checked less.

--- a/internal/node/faults_test.go
+++ b/internal/node/faults_test.go
@@ -106,6 +106,9 @@
 // Deadlines are spans of real time, so stepping the wall clock while no process runs must not affect accepted messages.
 // Earlier, after a step forward all of them were given up without a call, and after a step back some never ended.
 func TestWallClockStepAcrossRestart(t *testing.T) {
+	if _, err := faultyProgram(); err != nil { // built first, so that no message waits for it
+		t.Fatal(err)
+	}
 	for _, offset := range []time.Duration{time.Hour, -time.Hour} {
 		t.Run(offset.String(), func(t *testing.T) {
 			t.Parallel()
--- a/internal/node/unsolicited_test.go
+++ b/internal/node/unsolicited_test.go
@@ -183,22 +183,22 @@
 				for round := range 5 {
 					first, second := fmt.Sprint("first-", round), fmt.Sprint("second-", round)
 					q.add(Notice{ID: first, State: noticeFailed})
-					in := receive(t, p.requests, "notice")
+					confirmedOnce := receive(t, p.requests, "notice")
 					q.add(Notice{ID: second, State: noticeFailed}) // sent as soon as the first is confirmed
 					go func() {
-						writeWithUnsolicited(in.conn, confirmed, unsolicited, when.delay, when.noDelay)
-						close(in.answered)
+						writeWithUnsolicited(confirmedOnce.conn, confirmed, unsolicited, when.delay, when.noDelay)
+						close(confirmedOnce.answered)
 					}()
 					expectConfirmed(t, events, first)
-					in = receive(t, p.requests, "second notice")
-					in.conn.Close() // it gets no response
-					close(in.answered)
-					in = receive(t, p.requests, "second notice, sent again")
+					unanswered := receive(t, p.requests, "second notice")
+					unanswered.conn.Close()
+					close(unanswered.answered)
+					again := receive(t, p.requests, "second notice, sent again")
 					if len(events) != 0 {
 						t.Fatalf("%+v was confirmed without a response", <-events)
 					}
-					io.WriteString(in.conn, confirmed)
-					close(in.answered)
+					io.WriteString(again.conn, confirmed)
+					close(again.answered)
 					expectConfirmed(t, events, second)
 				}
 			})
