--- a/internal/node/handover_test.go
+++ b/internal/node/handover_test.go
@@ -241,6 +241,26 @@
 // After SIGHUP during an upgrade the standby process uses the new address once it has taken over, both for discovery
 // and for unconfirmed notices.
 func TestReloadDuringUpgrade(t *testing.T) {
+	checkReloadAtUpgrade(t, func(_, next *process, config []byte, takeOver func()) {
+		next.reload(config)
+		takeOver()
+	})
+}
+
+// Guards against a new configuration that never takes effect: after a handover only the predecessor gets the signal. The
+// platform signals the program that it started, and not one that is in its first second.
+func TestReloadSignalToPredecessor(t *testing.T) {
+	checkReloadAtUpgrade(t, func(proc, next *process, config []byte, takeOver func()) {
+		takeOver()
+		next.replaceConfig(config) // both processes read the same file in service
+		proc.reload(config)
+	})
+}
+
+// checkReloadAtUpgrade upgrades a process with a call in flight, has reload move discovery to another address before or after
+// it lets the next process take over, and checks that lists and notices come from and go to the new address.
+func checkReloadAtUpgrade(t *testing.T, reload func(proc, next *process, config []byte, takeOver func())) {
+	t.Helper()
 	fixture := newUpgradeFixture(t)
 	fresh := newPlatform(t)
 	fresh.list = EndpointList{Generation: 7, Reset: true, Instances: instances(fixture.endpoint)}
@@ -249,9 +269,10 @@
 	c.put("u", "unsafe", "+OK")
 	in := receive(t, fixture.endpoint.calls, "call")
 	next := fixture.startStandby()
-	next.reload(configText(fresh, fixture.known))
-	proc.terminate()
-	next.awaitReady()
+	reload(proc, next, configText(fresh, fixture.known), func() {
+		proc.terminate()
+		next.awaitReady()
+	})
 	if q := receive(t, fresh.listRequests, "call at the new address"); q != "" {
 		t.Errorf("requested %q, want the full list", q)
 	}
--- a/internal/node/reload_test.go
+++ b/internal/node/reload_test.go
@@ -98,33 +98,6 @@
 	proc.awaitExit()
 }
 
-// Guards against a new configuration that never takes effect: after a handover only the predecessor gets the signal. The
-// platform signals the program that it started, and not one that is in its first second.
-func TestReloadSignalToPredecessor(t *testing.T) {
-	fixture := newUpgradeFixture(t)
-	fresh := newPlatform(t)
-	fresh.list = EndpointList{Generation: 7, Reset: true, Instances: instances(fixture.endpoint)}
-	proc := fixture.start()
-	c := dialClient(t, proc.addr)
-	c.put("u", "unsafe", "+OK")
-	in := receive(t, fixture.endpoint.calls, "call")
-	next := fixture.startStandby()
-	proc.terminate()
-	next.awaitReady()
-	next.replaceConfig(configText(fresh, fixture.known)) // both processes read the same file in service
-	proc.reload(configText(fresh, fixture.known))
-	if q := receive(t, fresh.listRequests, "call at the new address"); q != "" {
-		t.Errorf("requested %q, want the full list", q)
-	}
-	in.reply(500)
-	if notice := receive(t, fresh.notices, "notice at the new address"); notice != (Notice{ID: "u", State: "failed"}) {
-		t.Errorf("notice %+v", notice)
-	}
-	proc.awaitExit()
-	next.terminate()
-	next.awaitExit()
-}
-
 // A predecessor that has itself a predecessor passes a reload on, whichever of the two was signalled.
 func TestRelayForwardsReload(t *testing.T) {
 	dir := t.TempDir()
