tests: a drain under constant use breaks none of the sender's own rules

Cause: TestDrainEndsBusyConnections did not look at the sender's own checks, one of which counts connections closed with a request open. Change: the test reads the figure.

--- a/internal/node/admin_test.go
+++ b/internal/node/admin_test.go
@@ -335,6 +335,9 @@
 			if len(p.notices) != 0 {
 				t.Errorf("not delivered: %+v", <-p.notices)
 			}
+			if got := n.metrics.violations.total(); got != 0 {
+				t.Errorf("%d violations:\n%s", got, n.metrics.text())
+			}
 		})
 	}
 }
