Review: case 7, a bulk call that goes on after a message of a class in order

Cause: with second copies a cancelled message of a bulk call gets its outcome while the call is out. Change: review/7.

--- /dev/null
+++ b/review/7/run.sh
@@ -0,0 +1,6 @@
+#!/bin/sh
+# Lets an endpoint fall silent with bulk calls that hold messages of a class in order.
+# Exits with 1 if the rule was broken, 0 if it held, 2 if the case could not run. TROUBLE=0 leaves out the disruption.
+cd "$(dirname "$0")/../.." || exit 2
+[ -x bin/stage ] && [ -x bin/cometrack ] || exit 2
+exec bin/stage -case order-bulk -record review/7/record.txt
