--- a/review/stage/case_handover.go
+++ b/review/stage/case_handover.go
@@ -4,9 +4,9 @@
 	"bufio"
 	"fmt"
 	"io"
-	"math/rand/v2"
 	"net"
 	"os"
+	"runtime"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -17,21 +17,20 @@
 func init() { cases["handover-late"] = playHandoverLate }
 
 const (
-	fillBytes      = 16_200_000            // that the folder holds before the upgrade, of 40 MB
-	fillPause      = 30 * time.Millisecond // of a client after a refusal
-	fillPipelined  = 16                    // handed in with one write
-	fillClients    = 8
-	fillTime       = 60 * time.Second // at most
-	fillDest       = 1
-	fillLimit      = 2000        // calls a second that the destination takes
-	refusedShare   = 0.6         // of its calls, for lack of a connection
-	quietTime      = time.Second // without new messages before the upgrade
-	silentDest     = 2
-	expiring       = 200                     // messages whose time is up around the upgrade
-	expiryInterval = 5 * time.Millisecond    // between their deadlines
-	expiryTime     = 1500 * time.Millisecond // of the first of them
-	expiryLead     = 100 * time.Millisecond  // of the first deadline before SIGTERM
-	lostAfter      = 550 * time.Millisecond  // after its time a message without an end is lost: 0.5 s, and 50 ms on sockets
+	upgradesPerCore = 2                     // senders whose processes are replaced at once, for each core
+	fillBytes       = 16_200_000            // that each folder holds before the upgrade, of 40 MB
+	fillPause       = 30 * time.Millisecond // of a client after a refusal
+	fillPipelined   = 16                    // messages handed in with one write
+	fillClients     = 8
+	fillTime        = 60 * time.Second // at most
+	fillDest        = 1
+	quietTime       = time.Second // without new messages before the upgrade
+	silentDest      = 2
+	expiring        = 200                     // messages of each sender whose time is up around the upgrade
+	expiryInterval  = 5 * time.Millisecond    // between their deadlines
+	expiryTime      = 2500 * time.Millisecond // of the first of them
+	expiryLead      = 100 * time.Millisecond  // of the first deadline before SIGTERM
+	lostAfter       = 550 * time.Millisecond  // after its time a message without an end is lost: 0.5 s, and 50 ms on sockets
 )
 
 var upgradeLimits = limits{Cores: 1, MemoryMB: 192, Sockets: 1024, DiskMB: 40}
@@ -56,6 +55,28 @@
 	return taken.Load(), nil
 }
 
+// fillAll fills the folders of all senders.
+func fillAll(pools []*clientPool, target int64) error {
+	var work sync.WaitGroup
+	errs := make(chan error, len(pools))
+	for _, pool := range pools {
+		work.Go(func() {
+			taken, err := fill(pool.sender, target)
+			pool.sender.stage.record.printf("%s: %d messages taken on; its folder holds %d bytes",
+				pool.sender.name, taken, pool.sender.heldBytes())
+			errs <- err
+		})
+	}
+	work.Wait()
+	close(errs)
+	for err := range errs {
+		if err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
 // fillFrom is one client of fill. After a refusal it pauses.
 func (x *sender) fillFrom(client int, end time.Time, target int64, taken *atomic.Int64) error {
 	conn, err := net.Dial("tcp", x.listen)
@@ -68,7 +89,7 @@
 		var b strings.Builder
 		for i := range fillPipelined {
 			m := message{
-				id: fmt.Sprintf("%s-f%d-%07d", x.name, client, number+i), class: chargeClass.name, dest: fillDest,
+				id: fmt.Sprintf("%x%06x", client, number+i), class: chargeClass.name, dest: fillDest,
 				body: "receipt", lifetime: time.Duration(chargeClass.deadline * float64(time.Second)),
 			}
 			b.WriteString(m.command())
@@ -106,17 +127,57 @@
 	return total
 }
 
-// answerScarce answers as an endpoint that often has no connection free. Such an answer carries no load report.
-func answerScarce(*inboundCall) answer {
-	if rand.Float64() < refusedShare {
-		return answerFull
+// expiringMessage is a message whose time is up around the upgrade.
+type expiringMessage struct {
+	id string
+	result
+}
+
+// handInExpiring hands in messages to each sender whose time is up from expiryTime on, and returns those taken on.
+func handInExpiring(pools []*clientPool) (taken []expiringMessage) {
+	var mu sync.Mutex
+	var answers sync.WaitGroup
+	for _, pool := range pools {
+		for i := range expiring {
+			m := &message{
+				id: fmt.Sprintf("%s-e%03d", pool.sender.name, i), class: statusClass.name, dest: silentDest, body: "update",
+				lifetime: expiryTime + time.Duration(i)*expiryInterval,
+			}
+			answers.Go(func() {
+				if r := pool.put(m); r.accepted() {
+					mu.Lock()
+					taken = append(taken, expiringMessage{m.id, r})
+					mu.Unlock()
+				}
+			})
+		}
 	}
-	return answer{status: answerDelivered.status, report: fmt.Sprintf("x0=0.5,x1=%d", fillLimit)}
+	answers.Wait()
+	return taken
 }
 
-// playHandoverLate replaces the process of a sender that has run for a while, with messages whose time is up just then.
+// upgradeAll starts a second process of each sender and waits until all of them answer that they are ready.
+func upgradeAll(pools []*clientPool) (old []*process, err error) {
+	var next []*process
+	for _, pool := range pools {
+		old = append(old, pool.sender.processes[0])
+		p, err := pool.sender.start()
+		if err != nil {
+			return nil, err
+		}
+		next = append(next, p)
+	}
+	for _, p := range next {
+		if err := p.awaitYes(); err != nil {
+			return nil, err
+		}
+	}
+	return old, nil
+}
+
+// playHandoverLate replaces the processes of senders that have run for a while, with messages whose time is up just then.
 func playHandoverLate(s *stage) (bool, error) {
-	quick, err := newEndpoint(s.record, "s-1", fillDest, kindBulk, answerScarce)
+	quick, err := newEndpoint(s.record, "s-1", fillDest, kindBulk, func(*inboundCall) answer { return answerDelivered })
 	if err != nil {
 		return false, err
 	}
@@ -131,74 +192,51 @@
 		return false, err
 	}
 	config := newDeployment()
-	config.senders, config.reports = 1, true
-	x, err := s.newSender(0, config.settings(0), upgradeLimits)
+	config.senders = upgradesPerCore * runtime.NumCPU()
+	machine := upgradeLimits
+	machine.Cores = 0.5 / upgradesPerCore // doubled while there are two processes
+	pools, err := s.startSenders(config, machine)
 	if err != nil {
 		return false, err
 	}
-	old, err := x.startReady()
-	if err != nil {
-		return false, err
-	}
-	taken, err := fill(x, fillBytes)
-	if err != nil {
+	if err := fillAll(pools, fillBytes); err != nil {
 		return false, err
 	}
-	s.record.printf("%d messages taken on; the folder holds %d bytes", taken, x.heldBytes())
 	time.Sleep(quietTime)
-	next := old
+	var old []*process
 	if s.trouble {
-		if next, err = x.start(); err != nil {
-			return false, err
-		}
-		if err := next.awaitYes(); err != nil {
+		if old, err = upgradeAll(pools); err != nil {
 			return false, err
 		}
 	}
-	pool := &clientPool{sender: x}
-	results := make([]result, expiring)
-	var answers sync.WaitGroup
 	handedIn := time.Now()
-	for i := range expiring {
-		m := &message{
-			id: fmt.Sprintf("n0-e-%03d", i), class: statusClass.name, dest: silentDest, body: "update",
-			lifetime: expiryTime + time.Duration(i)*expiryInterval,
-		}
-		answers.Go(func() { results[i] = pool.put(m) })
-	}
-	answers.Wait()
-	time.Sleep(expiryTime + expiryLead - time.Since(handedIn))
-	if s.trouble {
-		s.record.printf("SIGTERM to the old process")
-		old.signal(syscall.SIGTERM)
+	taken := handInExpiring(pools)
+	time.Sleep(expiryTime - expiryLead - time.Since(handedIn))
+	s.record.printf("SIGTERM to %d old processes", len(old))
+	for _, p := range old {
+		p.signal(syscall.SIGTERM)
 	}
 	time.Sleep(killDelay)
-	if s.trouble {
-		old.end()
+	for _, p := range old {
+		p.end()
 	}
 	time.Sleep(time.Second)
-	if !next.running() {
-		s.record.printf("the process ended")
-		return true, nil
-	}
-	lost := 0
-	for i, r := range results {
-		if !r.accepted() {
-			continue
-		}
-		n, ok := s.agent.noticeOf(fmt.Sprintf("n0-e-%03d", i))
-		if !ok || n.at > r.deadline+lostAfter {
-			lost++
-			s.record.printf("lost: n0-e-%03d, its time was up at %.3f s, its notice came at %.3f s, %.0f ms later",
-				i, r.deadline.Seconds(), n.at.Seconds(), (n.at-r.deadline).Seconds()*1000)
-		}
-	}
+	return s.countLost(taken) > 0, nil
+}
+
+// countLost records the messages that got no notice in time and returns their number.
+func (s *stage) countLost(taken []expiringMessage) (lost int) {
 	worst := time.Duration(0)
-	for i, r := range results {
-		if n, ok := s.agent.noticeOf(fmt.Sprintf("n0-e-%03d", i)); ok && r.accepted() {
-			worst = max(worst, n.at-r.deadline)
+	for _, m := range taken {
+		n, ok := s.agent.noticeOf(m.id)
+		worst = max(worst, n.at-m.deadline)
+		if !ok || n.at > m.deadline+lostAfter {
+			lost++
+			s.record.printf("lost: %s, its time was up at %.3f s, its notice came at %.3f s, %.0f ms later",
+				m.id, m.deadline.Seconds(), n.at.Seconds(), (n.at-m.deadline).Seconds()*1000)
 		}
 	}
-	s.record.printf("%d messages lost; the latest notice came %.0f ms after the time of its message", lost, worst.Seconds()*1000)
-	return lost > 0, nil
+	s.record.printf("%d of %d messages lost; the latest notice came %.0f ms after the time of its message",
+		lost, len(taken), worst.Seconds()*1000)
+	return lost
 }
--- a/review/stage/case_restart.go
+++ b/review/stage/case_restart.go
@@ -76,13 +76,11 @@
 		return false, err
 	}
 	pools = pools[:len(pools)*killedInTen/10] // the others get no messages
-	var work sync.WaitGroup
-	for _, pool := range pools {
-		work.Go(func() { fill(pool.sender, restartFillBytes) })
+	if err := fillAll(pools, restartFillBytes); err != nil {
+		return false, err
 	}
-	work.Wait()
-	s.record.printf("the folders are full")
 	time.Sleep(quietTime)
+	var work sync.WaitGroup
 	for _, pool := range pools {
 		for i := range owedMessages {
 			m := &message{
