--- a/review/stage/case_failback.go
+++ b/review/stage/case_failback.go
@@ -196,28 +196,32 @@
 
 const (
 	shutSenders   = 3
-	shutDests     = 4
+	shutDests     = 5
 	shutEndpoints = 3   // of each destination
 	shutCapacity  = 3.0 // calls a second
 	shutRate      = 2.6 // messages a second for each destination
-	limitedDest   = 100
-	limitedRate   = 3.0 // messages a second
-	limitedCalls  = 6.0 // calls a second that it takes
+	limitedDests  = 4
+	limitedDest   = 100  // number of the first of them
+	limitedRate   = 8.0  // messages a second for each, so that the others get under 30% of the traffic
+	limitedCalls  = 15.0 // calls a second that each takes
 	shutSettle    = 12 * time.Second
 	shutSlots     = 26
 )
 
-// playShut lets destinations without a limit be shut for a time, while another destination has a limit and reports it.
+// playShut lets destinations without a limit be shut for a time, while others have a limit and report it.
 func playShut(s *stage) (bool, error) {
-	limited := newDestination(s.record, limitedDest, limitedCalls)
-	if s.variant != "unreported" {
-		limited.report = fmt.Sprintf("x0=0.5,x1=%g", limitedCalls)
-	}
-	e, err := newEndpoint(s.record, "s-limited", limited.number, kindBulk, limited.handle)
-	if err != nil {
-		return false, err
+	var list []instance
+	for i := range limitedDests {
+		limited := newDestination(s.record, limitedDest+i, limitedCalls)
+		if s.variant != "unreported" {
+			limited.report = fmt.Sprintf("x0=0.5,x1=%g", limitedCalls)
+		}
+		e, err := newEndpoint(s.record, fmt.Sprint("s-", limited.number), limited.number, kindBulk, limited.handle)
+		if err != nil {
+			return false, err
+		}
+		list = append(list, e.entry("up"))
 	}
-	list := []instance{e.entry("up")}
 	var dests []*destination
 	for i := range shutDests {
 		d := newDestination(s.record, 1+i, shutCapacity)
@@ -231,9 +235,11 @@
 			list = append(list, e.entry("up"))
 		}
 	}
-	if s.agent, err = newAgent(s.record, list); err != nil {
+	agent, err := newAgent(s.record, list)
+	if err != nil {
 		return false, err
 	}
+	s.agent = agent
 	config := newDeployment()
 	config.senders, config.reports, config.callSlots = shutSenders, true, shutSlots
 	pools, err := s.startSenders(config, smallLimits)
@@ -241,10 +247,12 @@
 		return false, err
 	}
 	var work sync.WaitGroup
-	work.Go(func() {
-		t := &traffic{pools: pools, dest: limited.number, rate: limitedRate, bodySize: ordinaryBody}
-		t.run(learnTime + outageTime + shutSettle)
-	})
+	for i := range limitedDests {
+		work.Go(func() {
+			t := &traffic{pools: pools, dest: limitedDest + i, rate: limitedRate, bodySize: ordinaryBody}
+			t.run(learnTime + outageTime + shutSettle)
+		})
+	}
 	for _, d := range dests {
 		work.Go(func() {
 			t := &traffic{pools: pools, dest: d.number, rate: shutRate, bodySize: ordinaryBody}
