--- a/review/stage/case_handover.go
+++ b/review/stage/case_handover.go
@@ -29,7 +29,7 @@
 	expiring        = 200                     // messages of each sender whose time is up around the upgrade
 	expiryInterval  = 5 * time.Millisecond    // between their deadlines
 	expiryTime      = 2500 * time.Millisecond // of the first of them
-	expiryLead      = 100 * time.Millisecond  // of the first deadline before SIGTERM
+	startLead       = 200 * time.Millisecond  // of the start of the new processes before the first deadline
 	lostAfter       = 550 * time.Millisecond  // after its time a message without an end is lost: 0.5 s, and 50 ms on sockets
 )
 
@@ -156,23 +156,37 @@
 	return taken
 }
 
-// upgradeAll starts a second process of each sender and waits until all of them answer that they are ready.
-func upgradeAll(pools []*clientPool) (old []*process, err error) {
-	var next []*process
+// upgrade starts a second process of a sender, and ends the first one as the platform does: SIGTERM when the second one
+// answers that it is ready, SIGKILL later.
+func (x *sender) upgrade() error {
+	old := x.processes[len(x.processes)-1]
+	next, err := x.start()
+	if err != nil {
+		return err
+	}
+	if err := next.awaitYes(); err != nil {
+		return err
+	}
+	x.stage.record.printf("%s: the new process says yes; SIGTERM to the old one", x.name)
+	old.signal(syscall.SIGTERM)
+	time.Sleep(killDelay)
+	old.end()
+	return nil
+}
+
+// upgradeAll replaces the processes of all senders.
+func upgradeAll(pools []*clientPool) error {
+	errs := make(chan error, len(pools))
 	for _, pool := range pools {
-		old = append(old, pool.sender.processes[0])
-		p, err := pool.sender.start()
-		if err != nil {
-			return nil, err
-		}
-		next = append(next, p)
+		go func() { errs <- pool.sender.upgrade() }()
 	}
-	for _, p := range next {
-		if err := p.awaitYes(); err != nil {
-			return nil, err
+	var first error
+	for range pools {
+		if err := <-errs; err != nil {
+			first = err
 		}
 	}
-	return old, nil
+	return first
 }
 
 // playHandoverLate replaces the processes of senders that have run for a while, with messages whose time is up just then.
@@ -203,22 +217,15 @@
 		return false, err
 	}
 	time.Sleep(quietTime)
-	var old []*process
+	handedIn := time.Now()
+	taken := handInExpiring(pools)
+	time.Sleep(expiryTime - startLead - time.Since(handedIn))
 	if s.trouble {
-		if old, err = upgradeAll(pools); err != nil {
+		if err := upgradeAll(pools); err != nil {
 			return false, err
 		}
-	}
-	handedIn := time.Now()
-	taken := handInExpiring(pools)
-	time.Sleep(expiryTime - expiryLead - time.Since(handedIn))
-	s.record.printf("SIGTERM to %d old processes", len(old))
-	for _, p := range old {
-		p.signal(syscall.SIGTERM)
-	}
-	time.Sleep(killDelay)
-	for _, p := range old {
-		p.end()
+	} else {
+		time.Sleep(killDelay)
 	}
 	time.Sleep(time.Second)
 	return s.countLost(taken) > 0, nil
