--- a/review/stage/case_handover.go
+++ b/review/stage/case_handover.go
@@ -33,6 +33,11 @@
 	lostAfter       = 550 * time.Millisecond  // after its time a message without an end is lost: 0.5 s, and 50 ms on sockets
 )
 
+const maxSharedCores = 32 // keeps the number of processes below a few hundred
+
+// sharedCores returns the number of cores that the senders of a case share.
+func sharedCores() int { return min(runtime.GOMAXPROCS(0), maxSharedCores) }
+
 var upgradeLimits = limits{Cores: 1, MemoryMB: 192, Sockets: 1024, DiskMB: 40}
 
 // fill hands in messages over several connections until the folder that lasts holds target bytes. It returns how many were
@@ -206,7 +211,7 @@
 		return false, err
 	}
 	config := newDeployment()
-	config.senders = upgradesPerCore * runtime.NumCPU()
+	config.senders = upgradesPerCore * sharedCores()
 	machine := upgradeLimits
 	machine.Cores = 0.5 / upgradesPerCore // doubled while there are two processes
 	pools, err := s.startSenders(config, machine)
--- a/review/stage/case_restart.go
+++ b/review/stage/case_restart.go
@@ -2,7 +2,6 @@
 
 import (
 	"fmt"
-	"runtime"
 	"strings"
 	"sync"
 	"time"
@@ -68,7 +67,7 @@
 		return false, err
 	}
 	config := newDeployment()
-	config.senders = sendersPerCore * runtime.NumCPU()
+	config.senders = sendersPerCore * sharedCores()
 	machine := upgradeLimits
 	machine.Cores = 1.0 / sendersPerCore
 	pools, err := s.startSenders(config, machine)
