--- a/review/stage/case_restart.go
+++ b/review/stage/case_restart.go
@@ -10,7 +10,7 @@
 func init() { cases["restart-drain"] = playRestartDrain }
 
 const (
-	sendersPerCore   = 4
+	sendersPerCore   = 5
 	killedInTen      = 7          // of ten senders, at once
 	restartFillBytes = 16_000_000 // that each folder holds before the kill, of 40 MB
 	slowDest         = 2          // takes slowTime for a call
