--- a/review/stage/case_failback.go
+++ b/review/stage/case_failback.go
@@ -112,8 +112,41 @@
 	largeCapacity = 4.0      // calls a second
 	largeRate     = 4.0      // messages a second
 	largeBody     = 40 << 10 // bytes
+	largeOthers   = 7        // destinations besides, so that one of eight endpoints fails, with under 30% of the traffic
 )
 
+const (
+	firstOther    = 200
+	otherRate     = 1.5  // messages a second for each of the other destinations
+	otherCapacity = 10.0 // calls a second
+)
+
+// otherDestinations starts sound destinations with an endpoint each, and returns their numbers and list entries.
+func (s *stage) otherDestinations(count int) (numbers []int, list []instance, err error) {
+	for i := range count {
+		d := newDestination(s.record, firstOther+i, otherCapacity)
+		e, err := newEndpoint(s.record, fmt.Sprint("s-", d.number), d.number, kindGeneral, d.handle)
+		if err != nil {
+			return nil, nil, err
+		}
+		numbers, list = append(numbers, d.number), append(list, e.entry("up"))
+	}
+	return numbers, list, nil
+}
+
+// runOthers hands in messages for the other destinations in turn. The returned function waits for the end of that.
+func runOthers(pools []*clientPool, dests []int, duration time.Duration) (wait func()) {
+	var others sync.WaitGroup
+	for i, dest := range dests {
+		others.Go(func() {
+			time.Sleep(time.Duration(float64(i) / otherRate / float64(len(dests)) * float64(time.Second)))
+			t := &traffic{pools: pools, dest: dest, rate: otherRate, bodySize: ordinaryBody}
+			t.run(duration)
+		})
+	}
+	return others.Wait
+}
+
 // playLarge lets a destination that takes bulk calls fail all calls for a time, with messages that do not fit into one
 // bulk call together.
 func playLarge(s *stage) (bool, error) {
@@ -123,7 +156,11 @@
 	if err != nil {
 		return false, err
 	}
-	if s.agent, err = newAgent(s.record, []instance{e.entry("up")}); err != nil {
+	otherDests, list, err := s.otherDestinations(largeOthers)
+	if err != nil {
+		return false, err
+	}
+	if s.agent, err = newAgent(s.record, append(list, e.entry("up"))); err != nil {
 		return false, err
 	}
 	config := newDeployment()
@@ -136,6 +173,7 @@
 	if s.variant == "small" {
 		body = ordinaryBody
 	}
+	defer runOthers(pools, otherDests, learnTime+outageTime+recoveryTime)()
 	t := &traffic{pools: pools, dest: d.number, rate: largeRate, bodySize: body}
 	t.run(learnTime)
 	if s.trouble {
--- a/review/stage/case_order.go
+++ b/review/stage/case_order.go
@@ -21,6 +21,7 @@
 	silentTime     = 10 * time.Second       // of one endpoint
 	laterAfter     = 200 * time.Millisecond // the later message of a key is handed in so long after the earlier one
 	orderSettle    = 3 * time.Second        // after the silence
+	orderOthers    = 14                     // destinations besides, which get over 70% of the traffic
 	keyQuietTime   = time.Second
 	arrivalMargin  = 50 * time.Millisecond // every time limit is 50 ms longer on sockets
 	firstKeyNumber = 0xa1
@@ -143,7 +144,11 @@
 	if err != nil {
 		return false, err
 	}
-	if s.agent, err = newAgent(s.record, []instance{first.entry("up"), second.entry("up")}); err != nil {
+	otherDests, list, err := s.otherDestinations(orderOthers)
+	if err != nil {
+		return false, err
+	}
+	if s.agent, err = newAgent(s.record, append(list, first.entry("up"), second.entry("up"))); err != nil {
 		return false, err
 	}
 	config := newDeployment()
@@ -156,6 +161,7 @@
 	if err != nil {
 		return false, err
 	}
+	defer runOthers(pools, otherDests, orderLearn+silentTime+orderSettle)()
 	t := &traffic{pools: pools, dest: orderDest, rate: orderRate, bodySize: ordinaryBody}
 	t.run(orderLearn)
 	time.Sleep(time.Second) // until all of that is answered
--- a/review/stage/main.go
+++ b/review/stage/main.go
@@ -12,6 +12,7 @@
 	"os"
 	"os/signal"
 	"path/filepath"
+	"sync"
 	"syscall"
 	"time"
 )
@@ -34,7 +35,28 @@
 	dir     string // temporary folder
 	record  *recorder
 	agent   *agent
+
+	mu      sync.Mutex
 	senders []*sender
+	over    bool // the case has ended
+}
+
+// addSender registers a sender, so that its processes are ended with the case.
+func (s *stage) addSender(x *sender) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.senders = append(s.senders, x)
+	x.over = s.over
+}
+
+// endSenders ends all processes of the case. None is started after that.
+func (s *stage) endSenders() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.over = true
+	for _, x := range s.senders {
+		x.endAll()
+	}
 }
 
 func main() {
@@ -83,9 +105,7 @@
 	case <-time.After(caseTimeout):
 		r.err = errors.New("the case did not end in time")
 	}
-	for _, sender := range s.senders {
-		sender.endAll()
-	}
+	s.endSenders()
 	record.copyLogs(filepath.Join(dir, "*.log"))
 	switch {
 	case r.err != nil:
--- a/review/stage/sender.go
+++ b/review/stage/sender.go
@@ -15,8 +15,6 @@
 	"sync/atomic"
 	"syscall"
 	"time"
-
-	"github.com/pelletier/go-toml/v2"
 )
 
 const (
@@ -47,6 +45,7 @@
 
 	mu        sync.Mutex
 	processes []*process
+	over      bool // no further process may be started
 }
 
 // process is one process of a sender.
@@ -85,7 +84,7 @@
 		return nil, err
 	}
 	x := &sender{stage: s, name: fmt.Sprint("n", number), listen: addr, settings: settings, limits: machine}
-	s.senders = append(s.senders, x)
+	s.addSender(x)
 	if err := os.MkdirAll(x.path("state"), 0o700); err != nil {
 		return nil, err
 	}
@@ -116,9 +115,14 @@
 	if err != nil {
 		return "", err
 	}
-	var deploy struct{ Run string }
-	err = toml.Unmarshal(text, &deploy)
-	return deploy.Run, err
+	for line := range strings.Lines(string(text)) {
+		if name, value, _ := strings.Cut(line, "="); strings.TrimSpace(name) == "run" {
+			if parts := strings.Split(value, `"`); len(parts) > 1 {
+				return parts[1], nil
+			}
+		}
+	}
+	return "", errors.New("the deploy file has no run command")
 }
 
 // start starts a process. It does not wait until that is ready.
@@ -129,6 +133,9 @@
 	}
 	x.mu.Lock()
 	defer x.mu.Unlock()
+	if x.over {
+		return nil, errors.New("the case is over")
+	}
 	admin, err := freeAddress()
 	if err != nil {
 		return nil, err
@@ -139,6 +146,7 @@
 	}
 	p := &process{cmd: exec.Command("/bin/sh", "-c", command), admin: admin, done: make(chan struct{})}
 	p.cmd.Stdout, p.cmd.Stderr = log, log
+	p.cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL} // also if this program is killed
 	p.cmd.Env = append(os.Environ(),
 		"BALANCER_NAME="+x.name,
 		"BALANCER_LISTEN="+x.listen,
@@ -240,6 +248,7 @@
 func (x *sender) endAll() {
 	x.mu.Lock()
 	defer x.mu.Unlock()
+	x.over = true
 	for _, p := range x.processes {
 		p.end()
 	}
