An attempt ends with its call; package logic decides about a second copy of its message

Cause: where second copies are allowed, the node reported a cancelled message of a bulk call as over (bulkCall.abandon) while the call went on for the others. Package logic took that for the end of the attempt: the pause of its order key began, and the next message of the key was sent with the call still open. Ruled out: a late close of the connection (single calls report after it) and the pause (it was kept, from the wrong moment). Change: an attempt gets its one result when its call has ended. Package logic knows which attempts share a call; where second copies are allowed it abandons a cancelled one whose call goes on, and may send its message again, with two attempts out at most. Until the call ends, the attempt keeps its place in the order of its key. A response counts for all messages of the call, also for abandoned ones. TestBulkCancelOne demanded the early result; it now demands the result of the response, for both settings of second copies.

--- a/internal/node/attempts.go
+++ b/internal/node/attempts.go
@@ -27,8 +27,8 @@
 // calledEndpoints returns the endpoints with a call in flight.
 func (n *Node) calledEndpoints() map[logic.EndpointID]bool {
 	endpoints := map[logic.EndpointID]bool{}
-	for _, m := range n.inFlight {
-		endpoints[m.call.endpoint] = true
+	for c := range n.inFlight {
+		endpoints[c.endpoint] = true
 	}
 	return endpoints
 }
@@ -123,28 +123,54 @@
 
 // attemptStarted records an attempt in flight and how to cancel it.
 func (n *Node) attemptStarted(m *activeMessage, c *call, cancel context.CancelFunc) {
-	m.call, m.cancel = c, cancel
-	n.inFlight[c.id] = m
+	if m.call != nil {
+		m.abandoned = m.call
+	}
+	m.call = c
+	n.inFlight[c] = cancel
+}
+
+// attemptEnded records that an attempt in flight has ended.
+func (n *Node) attemptEnded(m *activeMessage, c *call) {
+	if cancel := n.inFlight[c]; cancel != nil {
+		cancel()
+	}
+	delete(n.inFlight, c)
+	switch c {
+	case m.call:
+		m.call = nil
+	case m.abandoned:
+		m.abandoned = nil
+	}
 }
 
-// attemptEnded records that the attempt in flight has ended.
-func (n *Node) attemptEnded(m *activeMessage) {
-	m.cancel()
-	delete(n.inFlight, m.call.id)
-	m.call, m.cancel = nil, nil
+// cancelAttempt cancels an attempt in flight of m. If abort is set, it is not written if it is still connecting.
+func (n *Node) cancelAttempt(m *activeMessage, attempt int, abort bool) {
+	for _, c := range []*call{m.call, m.abandoned} {
+		if c == nil || c.attempt != attempt {
+			continue
+		}
+		if abort {
+			c.state.CompareAndSwap(callConnecting, callAborted)
+		}
+		c.cancelled = true
+		n.inFlight[c]()
+	}
 }
 
+// hasAttemptInFlight reports whether an attempt of the message has no result yet.
+func (m *activeMessage) hasAttemptInFlight() bool { return m.call != nil || m.abandoned != nil }
+
 // handleAttemptResult records the result of an attempt and passes it to package logic.
 func (n *Node) handleAttemptResult(ev attemptResultEvent) {
 	m := n.active[ev.call.id]
 	if m == nil {
 		return
 	}
-	if m.call != nil {
-		n.attemptEnded(m)
-	}
+	overtaken := ev.call.attempt != m.attempts-1 // the message has been sent again meanwhile
+	n.attemptEnded(m, ev.call)
 	r := ev.result
-	if r.outcome == logic.LocalFailure {
+	if r.outcome == logic.LocalFailure && !overtaken {
 		m.attempts--
 	}
 	m.log.addOutcome(r)
@@ -167,6 +193,7 @@
 		}
 		n.endMessage(ev.call.id, m)
 	case r.outcome == logic.LocalFailure && !ev.call.journaled: // the attempt is not in the journal
+	case overtaken: // its outcome was recorded when the message was sent again
 	default:
 		n.pendingRecords = append(n.pendingRecords, record{
 			Op:           opOutcome,
@@ -175,7 +202,7 @@
 			LocalFailure: r.outcome == logic.LocalFailure,
 		})
 	}
-	if m.ended {
+	if m.ended && !m.hasAttemptInFlight() {
 		delete(n.active, ev.call.id)
 	}
 	n.pendingEvents = append(n.pendingEvents, logic.AttemptResult{
@@ -204,9 +231,9 @@
 // abortConnecting ends matching calls that are still connecting, so that they are never written. They were decided
 // before package logic learned of the change and would reach the endpoint long after it. They end as Skipped.
 func (n *Node) abortConnecting(match func(ep logic.EndpointID) bool) {
-	for _, m := range n.inFlight {
-		if match(m.call.endpoint) && m.call.state.CompareAndSwap(callConnecting, callAborted) {
-			m.cancel()
+	for c, cancel := range n.inFlight {
+		if match(c.endpoint) && c.state.CompareAndSwap(callConnecting, callAborted) {
+			cancel()
 		}
 	}
 }
--- a/internal/node/bulk.go
+++ b/internal/node/bulk.go
@@ -61,31 +61,30 @@
 	return len(header) + base64.StdEncoding.EncodedLen(len(m.Body)) + len(",")
 }
 
-// bulkCall is a call in flight with several messages. Each message gets exactly one result: from the response, or
-// earlier if it times out or is cancelled while others still wait for the response. If second copies are not allowed, a
-// message gets no result before the call ends, since a result permits sending it again. The call is cancelled once no
-// message waits for it.
+// bulkCall is a call in flight with several messages. Each message gets exactly one result, when the call has ended, or
+// as soon as it is certain that the message will not be written. The call is cancelled once no message waits for it.
 type bulkCall struct {
-	mu                sync.Mutex
-	pending           map[*call]bool // messages without a result; the value is false once nothing waits for the message
-	allowSecondCopies bool
-	cancel            context.CancelFunc
-	report            func(*call, callResult)
+	mu      sync.Mutex
+	waiting map[*call]bool          // messages that wait for the response
+	stopped map[*call]logic.Outcome // messages that do not wait any more, with their outcome if there is no response
+	cancel  context.CancelFunc
+	report  func(*call, callResult)
 }
 
-// resolve reports the result of cl, unless it already has one. The last result ends the call.
+// resolve reports the result of cl, unless it already has one.
 func (b *bulkCall) resolve(cl *call, res callResult) {
 	b.mu.Lock()
-	_, pending := b.pending[cl]
-	delete(b.pending, cl)
-	last := len(b.pending) == 0
+	outcome, stopped := b.stopped[cl]
+	pending := stopped || b.waiting[cl]
+	delete(b.stopped, cl)
+	delete(b.waiting, cl)
 	b.mu.Unlock()
+	if stopped && (res.outcome == logic.Cancelled || res.outcome == logic.TimedOut) {
+		res.outcome = outcome
+	}
 	if pending {
 		b.report(cl, res)
 	}
-	if last {
-		b.cancel()
-	}
 }
 
 // resolveAll resolves the given calls with the same result.
@@ -95,52 +94,49 @@
 	}
 }
 
-// abandon handles a message whose own context ended because of a timeout or a cancellation.
-func (b *bulkCall) abandon(cl *call, cause error) {
-	res := callResult{outcome: logic.Cancelled}
+// stopWaiting handles a message whose own context ended because of a timeout or a cancellation. If the request is not
+// written yet, it will not contain the message. Otherwise the message gets its result when the call has ended: until
+// then the endpoint may process it. The call ends early if no other message waits for the response.
+func (b *bulkCall) stopWaiting(cl *call, cause error) {
 	switch {
 	case cl.state.CompareAndSwap(callConnecting, callAborted):
-		res.outcome = logic.ConnRefused
+		b.resolve(cl, callResult{outcome: logic.ConnRefused})
 	case cl.state.Load() == callAborted:
-		res.outcome = logic.Skipped
-	case !b.allowSecondCopies:
-		b.detach(cl)
-		return
-	case errors.Is(cause, context.DeadlineExceeded):
-		res.outcome = logic.TimedOut
+		b.resolve(cl, callResult{outcome: logic.Skipped})
 	}
-	b.resolve(cl, res)
-}
-
-// detach notes that nothing waits for a message any more, and ends the call if it was the last one.
-func (b *bulkCall) detach(cl *call) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	if b.pending[cl] {
-		b.pending[cl] = false
-	}
-	for _, waiting := range b.pending {
-		if waiting {
-			return
+	if b.waiting[cl] {
+		delete(b.waiting, cl)
+		b.stopped[cl] = logic.Cancelled
+		if errors.Is(cause, context.DeadlineExceeded) {
+			b.stopped[cl] = logic.TimedOut
 		}
 	}
-	b.cancel()
+	if len(b.waiting) == 0 {
+		b.cancel()
+	}
 }
 
 // doBulk sends several messages in one call and reports the result of each. It returns when the call has ended.
 func (c *endpointClient) doBulk(ctx context.Context, group []pendingCall, report func(*call, callResult)) {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	bc := &bulkCall{pending: map[*call]bool{}, allowSecondCopies: c.allowSecondCopies, cancel: cancel, report: report}
+	bc := &bulkCall{
+		waiting: map[*call]bool{},
+		stopped: map[*call]logic.Outcome{},
+		cancel:  cancel,
+		report:  report,
+	}
 	combined := *group[0].call // address, timeout and connection choice of the bulk call
 	for _, pc := range group {
-		bc.pending[pc.call] = true
+		bc.waiting[pc.call] = true
 		combined.timeout, combined.nonRetryable = max(combined.timeout, pc.timeout), combined.nonRetryable || pc.nonRetryable
 	}
 	for _, pc := range group {
 		callCtx, stop := context.WithTimeout(pc.ctx, pc.timeout)
 		defer stop()
-		defer context.AfterFunc(callCtx, func() { bc.abandon(pc.call, callCtx.Err()) })()
+		defer context.AfterFunc(callCtx, func() { bc.stopWaiting(pc.call, callCtx.Err()) })()
 	}
 	deadline := time.Now().Add(combined.timeout)
 	conn, err := c.getConn(ctx, &combined, deadline)
--- a/internal/node/bulk_test.go
+++ b/internal/node/bulk_test.go
@@ -151,25 +151,22 @@
 	}
 }
 
-// A cancelled message ends at once if second copies are allowed, and with the call otherwise. The other messages get
-// their results from the response.
+// Guards against a cancelled message that counts as over while the endpoint still holds its call: whether second copies
+// are allowed or not, it gets its result from the response, like the other messages.
 func TestBulkCancelOne(t *testing.T) {
 	for _, copies := range []bool{true, false} {
 		n, e := newBulkNode(t, map[string]string{"a": "x", "b": "y", "c": "z"})
-		n.endpointClient.allowSecondCopies = copies
+		n.cfg.Deployment.Settings.SecondCopies = copies
 		n.sendPendingCalls(t.Context())
 		in := receive(t, e.calls, "call")
-		n.active["a"].cancel()
-		if copies {
-			if got := collectOutcomes(t, n, 1); got["a"] != logic.Cancelled {
-				t.Fatalf("outcomes %v", got)
-			}
+		n.cancelAttempt(n.active["a"], 0, false)
+		select {
+		case ev := <-n.events:
+			t.Fatalf("copies %v: result %v before the end of the call", copies, ev)
+		case <-time.After(4 * abortGracePeriod):
 		}
 		replyWithBody(in, `[{"id":"a","state":"failed"},{"id":"b","state":"done"},{"id":"c","state":"busy"}]`)
-		want := map[string]logic.Outcome{"b": logic.Delivered, "c": logic.Refused}
-		if !copies {
-			want["a"] = logic.Errored
-		}
+		want := map[string]logic.Outcome{"a": logic.Errored, "b": logic.Delivered, "c": logic.Refused}
 		if got := collectOutcomes(t, n, len(want)); !maps.Equal(got, want) {
 			t.Errorf("copies %v: outcomes %v, want %v", copies, got, want)
 		}
@@ -181,8 +178,8 @@
 	n, e := newBulkNode(t, map[string]string{"a": "x", "b": "y"})
 	n.sendPendingCalls(t.Context())
 	in := receive(t, e.calls, "call")
-	n.active["a"].cancel()
-	n.active["b"].cancel()
+	n.cancelAttempt(n.active["a"], 0, false)
+	n.cancelAttempt(n.active["b"], 0, false)
 	if got := collectOutcomes(t, n, 2); got["a"] != logic.Cancelled || got["b"] != logic.Cancelled {
 		t.Errorf("outcomes %v", got)
 	}
@@ -217,8 +214,8 @@
 		}
 		n.step(t.Context())
 		counted := map[int]bool{}
-		for _, m := range n.inFlight {
-			counted[m.call.number] = true
+		for c := range n.inFlight {
+			counted[c.number] = true
 		}
 		if len(counted) != test.calls || len(n.inFlight) != test.count {
 			t.Errorf("%+v: %d messages in %d calls", test, len(n.inFlight), len(counted))
--- a/internal/node/calls.go
+++ b/internal/node/calls.go
@@ -41,6 +41,7 @@
 	messageCount int // messages in the request
 
 	journaled bool // the attempt is recorded in the journal
+	cancelled bool // package logic has cancelled the attempt; used by the event loop only
 	number    int  // of the call within its step: attempts of a step with the same number travel together
 }
 
@@ -82,7 +83,6 @@
 	reuseDelay         time.Duration
 	idleTimeout        time.Duration
 	maxIdlePerEndpoint int
-	allowSecondCopies  bool // a message may be sent again while an earlier call with it is in flight
 	limits             socketBudget
 	messagesWritten    *atomic.Int64 // messages in completely written requests
 	mu                 sync.Mutex
--- a/internal/node/guard.go
+++ b/internal/node/guard.go
@@ -32,7 +32,7 @@
 const (
 	violationNotAccepted         violation = "not-taken-on"  // send or end of a message that is not in the journal
 	violationAlreadyEnded        violation = "already-over"  // send or second end after the end
-	violationAlreadyInFlight     violation = "already-out"   // send while a call with the message is in flight
+	violationAlreadyInFlight     violation = "already-out"   // send while another is in flight, unless second copies are allowed
 	violationWrongDestination    violation = "other-place"   // send to an endpoint of another destination
 	violationEndpointUnavailable violation = "endpoint-shut" // send to an endpoint that is draining or removed
 	violationWaitNotOver         violation = "wait-told"     // send before the end of a requested wait
@@ -111,7 +111,7 @@
 		return violationNotAccepted
 	case entry.End != nil:
 		return violationAlreadyEnded
-	case m.call != nil:
+	case m.call != nil && !n.mayHaveSecondCopy(m):
 		return violationAlreadyInFlight
 	case !known || info.dest != m.msg.Dest:
 		return violationWrongDestination
@@ -127,6 +127,12 @@
 	return g.checkRepeat(entry, info.zone, now)
 }
 
+// mayHaveSecondCopy reports whether a message may be sent while its latest attempt is in flight: that one is cancelled, it
+// is the only one in flight, and the settings allow a second copy.
+func (n *Node) mayHaveSecondCopy(m *activeMessage) bool {
+	return n.cfg.Deployment.Settings.SecondCopies && m.call.cancelled && m.abandoned == nil
+}
+
 // checkRepeat returns the rule that a further attempt would break because an earlier one may have run, or noViolation.
 func (g *protocolGuard) checkRepeat(entry *Entry, zone int, now int64) violation {
 	class := g.node.cfg.classOf(entry.Message)
--- a/internal/node/handover.go
+++ b/internal/node/handover.go
@@ -55,7 +55,8 @@
 	Ended      bool         `json:"Over"`
 	ReceivedAt int64        `json:"Came"` // on the persistent clock
 	AttemptLog string       `json:"Trail"`
-	Call       *relayedCall // the attempt in flight; nil if there is none
+	Call       *relayedCall // the latest attempt, if it is in flight
+	Abandoned  *relayedCall `json:",omitempty"` // the one before, if it is in flight too
 }
 
 // endpointState is an endpoint in a handoverState.
@@ -74,10 +75,44 @@
 	Attempt  int
 	Endpoint logic.EndpointID
 	State    int32
+	// Cancelled tells whether package logic has cancelled the attempt. Older builds do not send this.
+	Cancelled bool `json:",omitempty"`
 }
 
+// attemptKey identifies an attempt.
+type attemptKey struct {
+	id      string // of the message
+	attempt int
+}
+
+// key returns the key of the call's attempt.
+func (c *call) key() attemptKey { return attemptKey{c.id, c.attempt} }
+
 func newRelayedCall(c *call) relayedCall {
-	return relayedCall{c.id, c.attempt, c.endpoint, c.state.Load()}
+	return relayedCall{c.id, c.attempt, c.endpoint, c.state.Load(), c.cancelled}
+}
+
+// relayedCallOf returns nil for nil.
+func relayedCallOf(c *call) *relayedCall {
+	if c == nil {
+		return nil
+	}
+	relayed := newRelayedCall(c)
+	return &relayed
+}
+
+// restore returns the call of the predecessor with the message that it carries.
+func (r relayedCall) restore(m *Message) *call {
+	c := &call{
+		id:        r.ID,
+		attempt:   r.Attempt,
+		endpoint:  r.Endpoint,
+		msg:       m,
+		state:     new(atomic.Int32),
+		cancelled: r.Cancelled,
+	}
+	c.state.Store(r.State)
+	return c
 }
 
 // relayedResult is the result of a call of the predecessor.
@@ -124,10 +159,7 @@
 			ReceivedAt: n.clock.Micros(m.log.receivedAt),
 			AttemptLog: string(m.log.text),
 		}
-		if m.call != nil {
-			c := newRelayedCall(m.call)
-			saved.Call = &c
-		}
+		saved.Call, saved.Abandoned = relayedCallOf(m.call), relayedCallOf(m.abandoned)
 		state.Active = append(state.Active, saved)
 	}
 	for id, info := range n.directory.endpoints {
@@ -171,9 +203,11 @@
 			m.msg = e.Message
 			openCount++
 		}
-		if c := saved.Call; c != nil {
-			m.call = &call{id: c.ID, attempt: c.Attempt, endpoint: c.Endpoint, msg: m.msg, state: new(atomic.Int32)}
-			m.call.state.Store(c.State)
+		if saved.Call != nil {
+			m.call = saved.Call.restore(m.msg)
+		}
+		if saved.Abandoned != nil {
+			m.abandoned = saved.Abandoned.restore(m.msg)
 		}
 		active[saved.Message.ID] = m
 	}
@@ -183,9 +217,11 @@
 		}
 	}
 	for _, m := range active {
-		if m.call != nil {
-			n.predecessor.calls[m.call.id] = m.call
-			n.attemptStarted(m, m.call, n.predecessor.cancelFunc(m.call))
+		for _, c := range []*call{m.call, m.abandoned} {
+			if c != nil {
+				n.predecessor.calls[c.key()] = c
+				n.inFlight[c] = n.predecessor.cancelFunc(c)
+			}
 		}
 	}
 	n.active, n.openCount = active, openCount
--- a/internal/node/handover_test.go
+++ b/internal/node/handover_test.go
@@ -460,11 +460,11 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	n.predecessor = &predecessor{link: &link{conn: new(net.UnixConn)}, calls: map[string]*call{}}
+	n.predecessor = &predecessor{link: &link{conn: new(net.UnixConn)}, calls: map[attemptKey]*call{}}
 	if err := n.restoreHandover(state); err != nil {
 		t.Fatal(err)
 	}
-	c := n.predecessor.calls["a"]
+	c := n.predecessor.calls[attemptKey{"a", 0}]
 	if c == nil || !n.calledEndpoints()[7] {
 		t.Fatalf("call %v, endpoints in use %v", c, n.calledEndpoints())
 	}
--- a/internal/node/loop.go
+++ b/internal/node/loop.go
@@ -30,10 +30,11 @@
 type activeMessage struct {
 	msg      *Message
 	attempts int
-	ended    bool               // the message has ended while an attempt is still in flight
-	cancel   context.CancelFunc // cancels the attempt in flight; nil if there is none
-	call     *call              // the attempt in flight; nil if there is none
-	log      attemptLog
+	ended    bool  // the message has ended while an attempt is still in flight
+	call     *call // the latest attempt, if it is in flight
+	// abandoned is the attempt before call if it is in flight: it was cancelled, but its call goes on for other messages.
+	abandoned *call
+	log       attemptLog
 
 	overdueReported bool // already reported as a violation
 }
@@ -82,18 +83,18 @@
 	startup         startupTimer
 	configReadAt    time.Time // when reading the configuration in use began; zero for the one of the start
 	active          map[string]*activeMessage
-	openCount       int                       // number of active messages that have not ended
-	inFlight        map[string]*activeMessage // active messages with an attempt in flight
-	recentIDs       map[string]int64          // ended messages by id, with their deadlines on the persistent clock
-	pendingEvents   []logic.Event             // for the next step
-	shutdownAt      time.Time                 // time of SIGTERM; zero until then
-	predecessor     *predecessor              // nil if no process has handed over to this one, or it has ended
-	successor       *successor                // standby process that is ready to take over; nil if there is none
-	pendingPuts     []putEvent                // puts that the next step replies to
-	pendingRecords  []record                  // journal records for the next step
-	pendingCalls    []pendingCall             // calls decided in the current step
-	clock           *clock.Persistent         // persistent clock, which continues across restarts
-	stepTime        int64                     // start of the current step on the persistent clock
+	openCount       int                          // number of active messages that have not ended
+	inFlight        map[*call]context.CancelFunc // attempts in flight, with what cancels them
+	recentIDs       map[string]int64             // ended messages by id, with their deadlines on the persistent clock
+	pendingEvents   []logic.Event                // for the next step
+	shutdownAt      time.Time                    // time of SIGTERM; zero until then
+	predecessor     *predecessor                 // nil if no process has handed over to this one, or it has ended
+	successor       *successor                   // standby process that is ready to take over; nil if there is none
+	pendingPuts     []putEvent                   // puts that the next step replies to
+	pendingRecords  []record                     // journal records for the next step
+	pendingCalls    []pendingCall                // calls decided in the current step
+	clock           *clock.Persistent            // persistent clock, which continues across restarts
+	stepTime        int64                        // start of the current step on the persistent clock
 	guard           *protocolGuard
 	delayedNotices  []delayedNotice // notices of ends that are not in the journal yet
 	flushTimer      *time.Timer     // retries journal writes that failed
@@ -139,14 +140,13 @@
 		startup:         startup,
 		wakeTimer:       time.NewTimer(time.Hour),
 		active:          map[string]*activeMessage{},
-		inFlight:        map[string]*activeMessage{},
+		inFlight:        map[*call]context.CancelFunc{},
 		recentIDs:       map[string]int64{},
 		clock:           clock.New(),
 		flushTimer:      time.NewTimer(time.Hour),
 		journalFailures: failureLog{log: log, operation: "journal"},
 	}
 	n.guard = newProtocolGuard(n)
-	n.endpointClient.allowSecondCopies = cfg.Deployment.SecondCopies
 	n.discovery = newDiscoveryClient(cfg.DiscoveryAddr, settings.Senders, log, n.events)
 	n.discovery.pushed = !settings.ListOnRequest
 	n.notices = newNoticeQueue(cfg.DiscoveryAddr, log, n.events)
@@ -603,7 +603,7 @@
 	m.ended = true
 	n.openCount--
 	n.recentIDs[id] = m.msg.Deadline
-	if m.cancel == nil {
+	if !m.hasAttemptInFlight() {
 		delete(n.active, id)
 	}
 }
@@ -653,6 +653,9 @@
 	for _, a := range actions {
 		switch a := a.(type) {
 		case logic.Send:
+			if m := n.active[a.ID]; m != nil && m.call != nil { // a second copy: the journal has the state of the latest attempt
+				n.pendingRecords = append(n.pendingRecords, record{Op: opOutcome, ID: a.ID, MayHaveRun: true})
+			}
 			n.pendingRecords = append(n.pendingRecords, record{
 				Op:   opSend,
 				ID:   a.ID,
@@ -756,8 +759,8 @@
 	case logic.Send:
 		n.startAttempt(workCtx, a, written)
 	case logic.Cancel:
-		if m := n.active[a.ID]; m != nil && m.cancel != nil && m.attempts-1 == a.Attempt {
-			m.cancel()
+		if m := n.active[a.ID]; m != nil {
+			n.cancelAttempt(m, a.Attempt, false)
 		}
 	case logic.Reject, logic.Fail:
 		notice := noticeFor(a)
--- a/internal/node/message_test.go
+++ b/internal/node/message_test.go
@@ -82,7 +82,7 @@
 	if err := json.Unmarshal(handed, state); err != nil {
 		t.Fatal(err)
 	}
-	n.predecessor = &predecessor{link: &link{conn: new(net.UnixConn)}, calls: map[string]*call{}}
+	n.predecessor = &predecessor{link: &link{conn: new(net.UnixConn)}, calls: map[attemptKey]*call{}}
 	if err := n.restoreHandover(state); err != nil {
 		t.Fatal(err)
 	}
--- a/internal/node/predecessor.go
+++ b/internal/node/predecessor.go
@@ -18,7 +18,7 @@
 // predecessor is the process that handed over to this one, while it still runs.
 type predecessor struct {
 	link  *link
-	calls map[string]*call // its calls in flight, by message id; used by the event loop only
+	calls map[attemptKey]*call // its calls in flight; used by the event loop only
 }
 
 // acquireOwnership waits until this process owns the state folder. It returns the state that a predecessor has handed
@@ -106,7 +106,7 @@
 			return nil, errors.Join(errors.New("the lock was not released"), err)
 		}
 	}
-	n.sender, n.predecessor = sender, &predecessor{link: l, calls: map[string]*call{}}
+	n.sender, n.predecessor = sender, &predecessor{link: l, calls: map[attemptKey]*call{}}
 	return state, nil
 }
 
@@ -114,7 +114,7 @@
 // still connecting there, the predecessor does not write it any more.
 func (p *predecessor) cancelFunc(c *call) context.CancelFunc {
 	return func() {
-		if p.calls[c.id] == c {
+		if p.calls[c.key()] == c {
 			// The reader of the link reports a failed write, and that ends all calls.
 			relayed := newRelayedCall(c)
 			p.link.write(packet{Cancel: &relayed})
@@ -163,11 +163,11 @@
 // its calls end with ConnLost: they may have run.
 func (p *predecessor) results(ev predecessorEvent) (out []attemptResultEvent) {
 	if r := ev.Result; r != nil {
-		c := p.calls[r.Call.ID]
-		if c == nil || c.attempt != r.Call.Attempt {
+		c := p.calls[attemptKey{r.Call.ID, r.Call.Attempt}]
+		if c == nil {
 			return nil
 		}
-		delete(p.calls, c.id)
+		delete(p.calls, c.key())
 		return []attemptResultEvent{{
 			c,
 			callResult{
@@ -181,8 +181,8 @@
 		}}
 	}
 	if ev.disconnected {
-		for id, c := range p.calls {
-			delete(p.calls, id)
+		for key, c := range p.calls {
+			delete(p.calls, key)
 			out = append(out, attemptResultEvent{c, callResult{outcome: logic.ConnLost}, 0})
 		}
 	}
--- a/internal/node/relay.go
+++ b/internal/node/relay.go
@@ -82,8 +82,8 @@
 		p.Reload = true
 	case attemptResultEvent:
 		c, result := ev.call, ev.result
-		if m := r.node.active[c.id]; m != nil && m.call == c {
-			r.node.attemptEnded(m)
+		if m := r.node.active[c.id]; m != nil {
+			r.node.attemptEnded(m, c)
 		}
 		p.Result = &relayedResult{
 			Call:         newRelayedCall(c),
@@ -115,13 +115,8 @@
 		}
 	}
 	if p.Cancel != nil {
-		m := r.node.active[p.Cancel.ID]
-		if m == nil || m.call == nil || m.call.attempt != p.Cancel.Attempt {
-			return
-		}
-		if p.Cancel.State == callAborted {
-			m.call.state.CompareAndSwap(callConnecting, callAborted)
+		if m := r.node.active[p.Cancel.ID]; m != nil {
+			r.node.cancelAttempt(m, p.Cancel.Attempt, p.Cancel.State == callAborted)
 		}
-		m.cancel()
 	}
 }
--- a/internal/node/reload_test.go
+++ b/internal/node/reload_test.go
@@ -120,7 +120,7 @@
 	defer l.close()
 	for _, ev := range []any{
 		reloadEvent{},
-		predecessorEvent{from: &predecessor{calls: map[string]*call{}}, packet: packet{Reload: true}},
+		predecessorEvent{from: &predecessor{calls: map[attemptKey]*call{}}, packet: packet{Reload: true}},
 	} {
 		r.forward(ev)
 		var p packet
--- a/internal/wire/settings.go
+++ b/internal/wire/settings.go
@@ -96,7 +96,6 @@
 	SenderNumber    int      // number of this sender
 	Zones           []string // zone names, indexed by logic.EndpointEntry.Zone
 	ConnectTimeout  logic.Micros
-	SecondCopies    bool     // a message may be sent again while an earlier call with it is in flight
 	LoadMetricNames []string // indexed as logic.AttemptResult.Load; nil if endpoints report no load
 }
 
@@ -119,7 +118,6 @@
 		SenderNumber:   in.SenderNumber,
 		Zones:          in.Zones,
 		ConnectTimeout: secondsToMicros(in.Limits.ConnectTimeoutSeconds),
-		SecondCopies:   in.Limits.SecondCopies,
 	}
 	if in.LoadInfo.Mode != "off" {
 		deployment.LoadMetricNames = in.LoadInfo.Names
@@ -142,6 +140,7 @@
 		ListOnRequest:      in.MembershipMode == "on_request",
 		Probing:            in.Limits.Probing,
 		MayCancel:          in.Limits.MayCancel,
+		SecondCopies:       in.Limits.SecondCopies,
 		RetryAfter:         in.Limits.RetryAfter,
 		ExponentialDecay:   in.Specifics.LateDecay == "halves",
 		MaxRetryAfter:      secondsToMicros(in.Limits.MaxRetryAfterSeconds),
--- a/logic/harness_test.go
+++ b/logic/harness_test.go
@@ -111,16 +111,18 @@
 }
 
 type simMessage struct {
-	id              string
-	class           Class
-	dest            int64
-	key             string
-	deadline        Micros
-	ended, inFlight bool
-	mayHaveRun      bool
-	mayHaveRunAt    Micros
-	zone            int
-	attempts        int
+	id           string
+	class        Class
+	dest         int64
+	key          string
+	deadline     Micros
+	ended        bool
+	inFlight     int // attempts
+	size         int
+	mayHaveRun   bool
+	mayHaveRunAt Micros
+	zone         int
+	attempts     int
 }
 
 type simEndpoint struct {
@@ -134,9 +136,40 @@
 	ev   Event
 	msg  *simMessage
 	call *simCall
+
+	cancelled bool // an attempt whose call goes on for other messages
+}
+
+type simCall struct{ unfinished, bytes int }
+
+// cancel ends a cancelled attempt. Where calls with several messages go on for the others, that is when no other
+// message of its call waits.
+func (sim *simulation) cancel(event *simEvent) {
+	if sim.cfg.SecondCopies {
+		for _, other := range sim.queue {
+			if other.call != nil && other.call == event.call && !other.cancelled && other.msg != event.msg {
+				return
+			}
+		}
+	}
+	r := event.ev.(AttemptResult)
+	r.Outcome, r.RetryAfter = Cancelled, 0
+	event.ev, event.at = r, sim.now+sim.cfg.Tick
 }
 
-type simCall struct{ unfinished int }
+// isCancelled reports whether all attempts of m that are in flight were cancelled.
+func (sim *simulation) isCancelled(m *simMessage) bool {
+	return !slices.ContainsFunc(sim.queue, func(event simEvent) bool { return event.msg == m && !event.cancelled })
+}
+
+// endCancelledCalls ends the calls for which no message waits any more.
+func (sim *simulation) endCancelledCalls() {
+	for i := range sim.queue {
+		if event := &sim.queue[i]; event.cancelled && event.at > sim.now+sim.cfg.Tick {
+			sim.cancel(event)
+		}
+	}
+}
 
 // limiterKey names the route or destination whose limiter an endpoint uses.
 func (sim *simulation) limiterKey(e *simEndpoint) string {
@@ -229,7 +262,11 @@
 	if n := len(sim.cfg.Tenants); n > 0 {
 		tenant = sim.rng.IntN(n)
 	}
-	return Message{ID: m.id, TimeLeft: timeLeft, OrderKey: m.key, Dest: m.dest, Tenant: tenant, Class: class}
+	if sim.cfg.MaxCallBytes > 0 {
+		m.size = 1 + sim.rng.IntN(sim.cfg.MaxCallBytes/(1+sim.rng.IntN(8)))
+	}
+	return Message{ID: m.id, TimeLeft: timeLeft, OrderKey: m.key, Dest: m.dest, Tenant: tenant, Class: class,
+		Size: m.size}
 }
 
 // change drains, removes or adds an endpoint.
@@ -273,7 +310,7 @@
 	if c.unfinished--; c.unfinished == 0 {
 		sim.slotsUsed--
 	}
-	m.inFlight = false
+	m.inFlight--
 	if r.Outcome != Refused && r.Outcome != ConnRefused && r.Outcome != Skipped {
 		m.mayHaveRun = true
 	}
@@ -321,11 +358,12 @@
 
 // run performs one step and checks all its actions.
 func (sim *simulation) run(evs ...Event) {
-	opened := map[EndpointID]*simCall{}
-	count := map[EndpointID]int{}
+	opened := map[int]*simCall{}
+	endpointOf := map[int]EndpointID{}
 	if sim.beforeStep != nil {
 		sim.beforeStep()
 	}
+	sim.endCancelledCalls()
 	acts := sim.s.Step(sim.now, evs)
 	sim.checkOutOfRotation(sim.s)
 	if sim.twin != nil {
@@ -341,23 +379,28 @@
 		case Send:
 			m, e := sim.msgs[a.ID], sim.endpoints[a.Endpoint]
 			sim.checkSend(m, e)
-			c := opened[a.Endpoint]
-			if c == nil || count[a.Endpoint]%max(sim.cfg.Kinds[e.entry.Kind].MaxBatch, 1) == 0 {
+			c := opened[a.Call]
+			if c == nil {
 				c = &simCall{}
-				opened[a.Endpoint] = c
+				opened[a.Call], endpointOf[a.Call] = c, a.Endpoint
 				if sim.slotsUsed++; sim.slotsUsed > sim.cfg.CallSlots {
 					sim.fatalf("more concurrent calls than slots")
 				}
 				sim.checkCold(e)
 			}
-			count[a.Endpoint]++
 			c.unfinished++
+			if c.bytes += m.size; c.bytes > sim.cfg.MaxCallBytes && sim.cfg.MaxCallBytes > 0 {
+				sim.fatalf("call %d with %d bytes", a.Call, c.bytes)
+			}
+			if c.unfinished > max(sim.cfg.Kinds[e.entry.Kind].MaxBatch, 1) || endpointOf[a.Call] != a.Endpoint {
+				sim.fatalf("call %d with %d messages, to %d and %d", a.Call, c.unfinished, a.Endpoint, endpointOf[a.Call])
+			}
 			o, latency, wait := sim.outcome(e)
 			if latency >= a.Timeout {
 				o, latency, wait = TimedOut, a.Timeout, 0
 			}
 			sim.queue = append(sim.queue, simEvent{sim.now + latency, AttemptResult{ID: a.ID, Endpoint: a.Endpoint,
-				Attempt: m.attempts, Outcome: o, Latency: latency, RetryAfter: wait, Load: sim.load()}, m, c})
+				Attempt: m.attempts, Outcome: o, Latency: latency, RetryAfter: wait, Load: sim.load()}, m, c, false})
 			m.attempts++
 		case Cancel:
 			if !sim.cfg.MayCancel {
@@ -365,17 +408,17 @@
 			}
 			for i, q := range sim.queue {
 				if r, ok := q.ev.(AttemptResult); ok && r.ID == a.ID && r.Attempt == a.Attempt {
-					r.Outcome, r.RetryAfter = Cancelled, 0
-					sim.queue[i].ev, sim.queue[i].at = r, sim.now+sim.cfg.Tick
+					sim.queue[i].cancelled = true
+					sim.cancel(&sim.queue[i])
 				}
 			}
 		case Reject:
 			m := sim.msgs[a.ID]
-			if m.ended && m.deadline > sim.now && !m.class.KeepOrder && m.inFlight {
+			if m.ended && m.deadline > sim.now && !m.class.KeepOrder && m.inFlight > 0 {
 				sim.fatalf("rejected a message with an attempt in flight")
 			}
 			if m.mayHaveRun && m.class.Idempotency == NonIdempotent || m.mayHaveRun && m.class.DedupPerZone ||
-				m.inFlight {
+				m.inFlight > 0 {
 				sim.fatalf("rejected %s, which may have run", a.ID)
 			}
 			if a.RetryAfter > sim.cfg.MaxRetryAfter || a.RetryAfter > 0 && !sim.cfg.RetryAfter {
@@ -385,7 +428,7 @@
 		case Fail:
 			sim.endMessage(sim.msgs[a.ID])
 		case SetTimer:
-			sim.queue = append(sim.queue, simEvent{sim.now + max(a.Wait, 1), TimerFired{a.Token}, nil, nil})
+			sim.queue = append(sim.queue, simEvent{sim.now + max(a.Wait, 1), TimerFired{a.Token}, nil, nil, false})
 		case Probe:
 			if !sim.cfg.Probing {
 				sim.fatalf("probe although Probing is not set")
@@ -397,7 +440,7 @@
 			if o == TimedOut {
 				latency = Second
 			}
-			sim.queue = append(sim.queue, simEvent{sim.now + latency, ProbeResult{a.Endpoint, o, nil}, nil, nil})
+			sim.queue = append(sim.queue, simEvent{sim.now + latency, ProbeResult{a.Endpoint, o, nil}, nil, nil, false})
 		}
 	}
 }
@@ -447,8 +490,8 @@
 	switch {
 	case m.ended:
 		sim.fatalf("sent %s after it had ended", m.id)
-	case m.inFlight:
-		sim.fatalf("two attempts of %s at once", m.id)
+	case m.inFlight > 1 || m.inFlight == 1 && !(sim.cfg.SecondCopies && sim.isCancelled(m)):
+		sim.fatalf("%d attempts of %s at once", m.inFlight+1, m.id)
 	case e.entry.Dest != m.dest:
 		sim.fatalf("sent %s to another destination", m.id)
 	case m.mayHaveRun && c.Idempotency == NonIdempotent:
@@ -464,7 +507,7 @@
 			if earlier == m {
 				break
 			}
-			if !earlier.ended || earlier.inFlight {
+			if !earlier.ended || earlier.inFlight > 0 {
 				sim.fatalf("sent %s before %s of the same key had ended", m.id, earlier.id)
 			}
 		}
@@ -472,7 +515,7 @@
 			sim.fatalf("sent %s during the cooldown of its key", m.id)
 		}
 	}
-	m.inFlight = true
+	m.inFlight++
 	if !m.mayHaveRun {
 		m.mayHaveRunAt, m.zone = sim.now, e.entry.Zone
 	}
--- a/logic/logic.go
+++ b/logic/logic.go
@@ -390,6 +390,7 @@
 	if stuck := 2 * s.stuckTime(e.dest, m); !s.cfg.MayCancel && (m.class.Idempotency == Idempotent ||
 		m.class.Idempotency == IdempotentByKey && s.now+stuck < m.mayHaveRunAt+m.class.DedupWindow) {
 		timeout = min(timeout, stuck) // where attempts cannot be cancelled, time out while m can still be resent
+		a.timeoutAt = s.now + timeout
 	}
 	s.emit(Send{ID: a.msg.id, Timeout: timeout, Endpoint: e.id, Call: a.call.number})
 	s.wakeBy(s.now + s.stuckTime(e.dest, m) + 1) // check for a stuck call even if no event comes until then
@@ -765,7 +766,8 @@
 	var oldest *attempt
 	s.visitCount += len(s.inFlight)
 	for _, a := range s.inFlight {
-		if a.cancelled || a.msg.streaming {
+		s.abandonIfShared(a)
+		if a.cancelled || a.abandoned || a.msg.streaming {
 			continue
 		}
 		e, age := a.endpoint, s.now-a.sentAt
@@ -852,10 +854,14 @@
 // handleResult processes the outcome of an attempt, then ends the message or queues it again.
 func (s *Sender) handleResult(r AttemptResult) {
 	m := s.msgs[r.ID]
-	if m == nil || m.inFlight == nil || m.inFlight.number != r.Attempt {
+	if m == nil {
 		return
 	}
-	a, e := m.inFlight, m.inFlight.endpoint
+	a := m.attemptInFlight(r.Attempt)
+	if a == nil {
+		return
+	}
+	e := a.endpoint
 	lastOfCall := s.finishAttempt(a)
 	refusalRate, connShortage := s.refusalRate[e.dest.kind]*(1-refusalAlpha), s.isConnShortage(r)
 	switch {
@@ -869,7 +875,7 @@
 	if r.Outcome == Delivered || r.Outcome == Refused || r.Outcome == Errored {
 		e.resets = 0
 	}
-	if r.Outcome == LocalFailure {
+	if r.Outcome == LocalFailure && a.number == m.attempts-1 {
 		m.attempts--
 	}
 	if r.Outcome != Refused && r.Outcome != ConnRefused && r.Outcome != Skipped && r.Outcome != LocalFailure {
@@ -912,13 +918,8 @@
 			s.recordRefusal(e, r.RetryAfter)
 		}
 	case Cancelled, TimedOut:
-		if a.restarted {
-			if !a.censored {
-				e.dest.latency.add(s.now, s.now-a.sentAt, true)
-			}
-			e.smoothedLatency += failureAlpha * max(0, float64(s.now-a.sentAt)-e.smoothedLatency)
-		} else if a.stuck && e.lastOK < a.sentAt {
-			s.recordFailure(e, "no answer")
+		if !a.abandoned {
+			s.recordUnanswered(a)
 		}
 	case ConnLost:
 		m.retryAt = s.now + errorBackoff
@@ -937,10 +938,20 @@
 	}
 	s.latencyChanged(e.dest)
 	s.scheduleScan(e.dest)
-	if r.Final || m.ended {
+	switch {
+	case r.Final || m.ended:
 		s.closeMessage(m)
-		return
+		if m.inFlight != nil { // a second copy
+			s.cancel(m.inFlight)
+		}
+	case a.abandoned: // m waits or has another attempt in flight
+	default:
+		s.resendOrEnd(m)
 	}
+}
+
+// resendOrEnd queues a message again whose attempt is over, or ends it if it may have no further one.
+func (s *Sender) resendOrEnd(m *msg) {
 	if s.endIfExhausted(m); !m.ended {
 		s.enqueue(m)
 	}
@@ -1163,7 +1174,7 @@
 	}
 	s.visitCount += len(s.inFlight)
 	for _, a := range s.inFlight {
-		if a.msg.streaming || a.msg.ended {
+		if a.msg.streaming || a.msg.ended || a.abandoned {
 			continue
 		}
 		if at := a.msg.deadline - s.endMargin(); at > s.now {
--- a/logic/rules_test.go
+++ b/logic/rules_test.go
@@ -23,6 +23,10 @@
 			s.Classes[0].KeepOrder, s.Classes[2].KeepOrder = true, true
 		}),
 		"batches": vary(func(s *Settings) { s.Kinds[0].MaxBatch = 10 }),
+		"second copies": vary(func(s *Settings) {
+			s.Kinds[0].MaxBatch, s.MaxCallBytes, s.SecondCopies = 10, 1000, true
+			s.KeyCooldown, s.Classes[0].KeepOrder = Second, true
+		}),
 		"separate routes": vary(func(s *Settings) {
 			s.Kinds = []DestinationKind{{Name: "k", SeparateRoutes: true, MaxBatch: 1}, {Name: "l", MaxBatch: 3}}
 		}),
--- a/logic/snapshot.go
+++ b/logic/snapshot.go
@@ -136,6 +136,11 @@
 	SentAt                Micros `json:"At"`
 	Cancelled, Cut, Stuck bool   // cancelled, restarted and stuck
 	Censored              bool   `json:"Late"`
+
+	// Not written by older builds.
+	Abandoned   bool   `json:",omitempty"`
+	CancelledAt Micros `json:",omitempty"`
+	TimeoutAt   Micros `json:",omitempty"`
 }
 
 type keyQueueState struct {
@@ -327,6 +332,9 @@
 			a.restarted,
 			a.stuck,
 			a.censored,
+			a.abandoned,
+			a.cancelledAt,
+			a.timeoutAt,
 		})
 	}
 	snap.CallCount = len(calls)
@@ -561,7 +569,7 @@
 	calls := make([]call, snap.CallCount)
 	for _, state := range snap.InFlight {
 		m := s.msgs[state.Message]
-		if m == nil || m.inFlight != nil ||
+		if m == nil || state.Abandoned && m.abandoned != nil || !state.Abandoned && m.inFlight != nil ||
 			state.Endpoint < 0 || state.Endpoint >= len(endpoints) || state.Call < 0 || state.Call >= len(calls) {
 			return errInconsistentSnapshot
 		}
@@ -578,8 +586,16 @@
 			restarted: state.Cut,
 			stuck:     state.Stuck,
 			censored:  state.Censored,
+
+			abandoned:   state.Abandoned,
+			cancelledAt: state.CancelledAt,
+			timeoutAt:   state.TimeoutAt,
+		}
+		if s.inFlight = append(s.inFlight, a); a.abandoned {
+			m.abandoned = a
+		} else {
+			m.inFlight = a
 		}
-		m.inFlight, s.inFlight = a, append(s.inFlight, a)
 	}
 	s.slotsUsed = snap.CallCount
 	for key, state := range snap.KeyQueues {
--- a/logic/state.go
+++ b/logic/state.go
@@ -96,6 +96,10 @@
 	restarted bool // cancelled at the restart time τ, to be sent again
 	stuck     bool // without an answer for so long that its endpoint was ejected
 	censored  bool // counted as lasting past τ while it is in flight; no longer counted once it is delivered
+	abandoned bool // its message no longer waits for it, but its call goes on
+
+	cancelledAt Micros // if cancelled
+	timeoutAt   Micros // end of its timeout where attempts cannot be cancelled; else 0
 }
 
 // msg is a message that has not ended, or of which an attempt is still in flight.
@@ -113,10 +117,11 @@
 	attempts       int // attempts made
 	restarts       int // attempts cancelled at the restart time, or as stuck, to be sent again
 	inFlight       *attempt
-	size           int    // bytes in a call with several messages
-	mayHaveRun     bool   // an attempt may have taken effect
-	mayHaveRunAt   Micros // when the first such attempt was sent; until there is one, the latest attempt
-	mayHaveRunZone int    // zone of the endpoint of that attempt
+	abandoned      *attempt // an earlier one whose call goes on for other messages; nil if there is none
+	size           int      // bytes in a call with several messages
+	mayHaveRun     bool     // an attempt may have taken effect
+	mayHaveRunAt   Micros   // when the first such attempt was sent; until there is one, the latest attempt
+	mayHaveRunZone int      // zone of the endpoint of that attempt
 	// lastEndpoint is the endpoint of the last attempt; nil if there was none since the start.
 	lastEndpoint *endpoint
 	retryAt      Micros    // earliest time of the next attempt
@@ -356,7 +361,7 @@
 	if !m.ended {
 		s.releaseHeld(m)
 	}
-	if m.inFlight != nil {
+	if m.inFlight != nil || m.abandoned != nil {
 		return
 	}
 	delete(s.msgs, m.id)
@@ -374,7 +379,11 @@
 // finishAttempt removes an attempt that has its outcome from those in flight. It reports whether that was the
 // last attempt of its call.
 func (s *Sender) finishAttempt(a *attempt) bool {
-	a.msg.inFlight, a.msg.streaming = nil, false
+	if a.abandoned {
+		a.msg.abandoned = nil
+	} else {
+		a.msg.inFlight, a.msg.streaming = nil, false
+	}
 	s.inFlight = slices.DeleteFunc(s.inFlight, func(x *attempt) bool { return x == a })
 	if a.call.unfinished--; a.call.unfinished > 0 {
 		return false
@@ -413,10 +422,10 @@
 	return a
 }
 
-// countTrials counts the attempts in flight at ejected endpoints.
+// countTrials counts the attempts at ejected endpoints that a message waits for.
 func (s *Sender) countTrials() (n int) {
 	for _, a := range s.inFlight {
-		if a.endpoint.ejected {
+		if a.endpoint.ejected && !a.abandoned {
 			n++
 		}
 	}
@@ -532,7 +541,7 @@
 // cancel cancels an attempt, once, unless this is not allowed or its stream has begun.
 func (s *Sender) cancel(a *attempt) {
 	if !a.cancelled && s.cfg.MayCancel && !a.msg.streaming {
-		a.cancelled = true
+		a.cancelled, a.cancelledAt = true, s.now
 		s.emit(Cancel{ID: a.msg.id, Attempt: a.number})
 	}
 }
--- a/logic/types.go
+++ b/logic/types.go
@@ -83,6 +83,7 @@
 	ListOnRequest    bool   // the endpoint list must be requested with Subscribe
 	Probing          bool   // health probes may be sent
 	MayCancel        bool   // attempts may be cancelled
+	SecondCopies     bool   // a message may be sent again while an earlier attempt of it is in flight
 	MaxCallBytes     int    // maximum total Size of the messages in one call with several; 0 for no limit
 	RetryAfter       bool   // clients are advised when to retry a rejected message
 	ExponentialDecay bool   // a late message loses half its value per TargetLatency; else linear decay
@@ -210,7 +211,9 @@
 	LocalFailure                // not sent for lack of a local resource; does not count as an attempt
 )
 
-// AttemptResult reports the outcome of an attempt. Each attempt has exactly one.
+// AttemptResult reports the outcome of an attempt. Each attempt has exactly one, when
+// the call that carries it has ended, or earlier if the endpoint will surely not get
+// the message.
 type AttemptResult struct {
 	ID         string
 	Final      bool // the message has ended
@@ -256,7 +259,8 @@
 	Call     int // number of the call: the Sends of one Step with the same number travel together
 }
 
-// Cancel cancels an attempt. Its AttemptResult still follows.
+// Cancel cancels an attempt. The call that carries it goes on while other messages
+// wait for its answer. Its AttemptResult still follows.
 type Cancel struct {
 	ID      string
 	Attempt int
