Every request that has arrived on a client's connection gets a reply before the close

Cause: readRequests answered one request and returned when the connection had to end. What the buffered reader had read behind it was dropped, and so was what had arrived with it. The same held at too many errors in a row, after a protocol error, and where the memory for large requests was taken. Ruled out: the read cutoff (the connections end before it), an eviction (it takes no connection with an open request). Change: before a connection is closed, what has arrived on it is read for 200 ms at most, and each request in it is rejected (-BUSY for a message), also one that has not arrived whole. After a protocol error that holds for requests that can still be recognized; none of them is executed. A request too large for the memory left is read to its end and rejected, and the connection goes on.

--- a/internal/node/clients.go
+++ b/internal/node/clients.go
@@ -86,8 +86,7 @@
 			}
 			continue
 		}
-		s := &session{server: c, conn: conn, openedAt: time.Now(), noRequestYet: true}
-		s.idleSince = s.openedAt
+		s := newSession(c, conn)
 		if !c.admit(s) {
 			conn.Close()
 			continue
--- a/internal/node/close_test.go
+++ b/internal/node/close_test.go
@@ -67,12 +67,7 @@
 		beforeRead:  func() {},
 		afterWrite:  func(int) {},
 	}
-	s := &session{
-		server:       newClientServer(cfg, slog.New(slog.DiscardHandler), events, newMetrics(cfg)),
-		conn:         hooks,
-		openedAt:     time.Now(),
-		noRequestYet: true,
-	}
+	s := newSession(newClientServer(cfg, slog.New(slog.DiscardHandler), events, newMetrics(cfg)), hooks)
 	s.server.phase = serving
 	s.server.sessions[s] = struct{}{}
 	return s, hooks, c
--- a/internal/node/node_test.go
+++ b/internal/node/node_test.go
@@ -429,7 +429,7 @@
 	}
 	server := newClientServer(&Config{}, slog.New(slog.DiscardHandler), nil, newMetrics(&Config{}))
 	server.phase, server.closingIdle = stopping, true
-	(&session{server: server, conn: conn, openedAt: time.Now()}).handle()
+	newSession(server, conn).handle()
 	conn.Close()
 	if got := c.readLine(); got != "-ERR stopping" {
 		t.Errorf("got %q", got)
--- a/internal/node/resp.go
+++ b/internal/node/resp.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"io"
 	"strconv"
+	"strings"
 )
 
 // Limits of a request. Exceeding one is a protocol error.
@@ -19,7 +20,8 @@
 var errProtocol = errors.New("protocol error")
 
 // readCommand reads one request: an array of bulk strings. Each length is checked before memory is allocated for it.
-// acquireLarge is called once, before a request exceeds smallRequestBytes.
+// acquireLarge is called once, before a request exceeds smallRequestBytes. If it fails, the rest of the request is read
+// without being kept, and its error returned.
 func readCommand(r *bufio.Reader, acquireLarge func() error) ([][]byte, error) {
 	n, err := readLength(r, '*', maxArgs)
 	if err != nil {
@@ -30,6 +32,7 @@
 	}
 	args := make([][]byte, n)
 	total, acquired := 0, false
+	var tooLarge error
 	for i := range args {
 		size, err := readLength(r, '$', maxBulkBytes)
 		if err != nil {
@@ -40,23 +43,76 @@
 		}
 		if total > smallRequestBytes && !acquired {
 			acquired = true
-			if err := acquireLarge(); err != nil {
-				return nil, err
-			}
+			tooLarge = acquireLarge()
 		}
-		b := make([]byte, size+2)
-		if _, err := io.ReadFull(r, b); err != nil {
-			return nil, unexpectedEOF(err)
+		if tooLarge != nil {
+			err = discardString(r, size)
+		} else {
+			args[i], err = readString(r, size)
 		}
-		if b[size] != '\r' || b[size+1] != '\n' {
-			return nil, fmt.Errorf("%w: bulk string without its end", errProtocol)
+		if err != nil {
+			return nil, unexpectedEOF(err)
 		}
-		args[i] = b[:size]
+	}
+	if tooLarge != nil {
+		return nil, tooLarge
 	}
 	return args, nil
 }
 
-// readLength reads a line that consists of prefix and a length of at most maxLength.
+// skipCommand reads one request without keeping it, and returns the name of its command if that is short.
+func skipCommand(r *bufio.Reader) (name string, err error) {
+	n, err := readLength(r, '*', maxArgs)
+	if err != nil {
+		return "", err
+	}
+	for i := range n {
+		size, err := readLength(r, '$', maxBulkBytes)
+		if err != nil {
+			return name, unexpectedEOF(err)
+		}
+		if i > 0 || size > maxLineBytes {
+			err = discardString(r, size)
+		} else {
+			var b []byte
+			b, err = readString(r, size)
+			name = strings.ToUpper(string(b))
+		}
+		if err != nil {
+			return name, unexpectedEOF(err)
+		}
+	}
+	return name, nil
+}
+
+// stringEnd follows the bytes of a bulk string.
+const stringEnd = "\r\n"
+
+var errStringEnd = fmt.Errorf("%w: bulk string without its end", errProtocol)
+
+// readString reads the bytes of a bulk string and its end.
+func readString(r *bufio.Reader, size int) ([]byte, error) {
+	b := make([]byte, size+len(stringEnd))
+	if _, err := io.ReadFull(r, b); err != nil {
+		return nil, err
+	}
+	if string(b[size:]) != stringEnd {
+		return nil, errStringEnd
+	}
+	return b[:size], nil
+}
+
+// discardString is readString without the bytes.
+func discardString(r *bufio.Reader, size int) error {
+	if _, err := r.Discard(size); err != nil {
+		return err
+	}
+	_, err := readString(r, 0)
+	return err
+}
+
+// readLength reads a line that consists of prefix and a length of at most maxLength. It does not read a line that begins
+// otherwise, since that may be a request.
 func readLength(r *bufio.Reader, prefix byte, maxLength int) (int, error) {
 	var line []byte
 	for {
@@ -67,6 +123,10 @@
 			}
 			return 0, err
 		}
+		if len(line) == 0 && c != prefix {
+			r.UnreadByte()
+			break
+		}
 		line = append(line, c)
 		if c == '\n' {
 			break
@@ -75,7 +135,7 @@
 			return 0, fmt.Errorf("%w: length line too long", errProtocol)
 		}
 	}
-	if len(line) < 4 || line[0] != prefix || line[len(line)-2] != '\r' {
+	if len(line) < 4 || line[len(line)-2] != '\r' {
 		return 0, fmt.Errorf("%w: want a line of %q and a length", errProtocol, prefix)
 	}
 	n, err := strconv.ParseUint(string(line[1:len(line)-2]), 10, 31)
--- a/internal/node/session.go
+++ b/internal/node/session.go
@@ -23,11 +23,14 @@
 	clientLingerTimeout  = 500 * time.Millisecond // for the client to close its side after we have closed ours
 	maxLingerBytes       = 1 << 20                // read and discarded during that time
 
+	putCommand = "MSG.PUT" // submits a message
+
 	replyOK                 = "+OK\r\n"
 	replyFailed             = "-ERR failed\r\n"
 	replyUnknownDestination = "-ERR unknown destination\r\n"
 	replyRequestTimeout     = "-ERR request not complete in time\r\n"
 	replyTooManyErrors      = "-ERR too many errors\r\n"
+	replyClosing            = "-ERR the connection is closing\r\n"
 )
 
 // session is one client's connection. Requests may be pipelined: a reader passes them on as they arrive, and a writer
@@ -35,6 +38,7 @@
 type session struct {
 	server            *clientServer
 	conn              net.Conn
+	input             *clientInput // reads from conn
 	openedAt          time.Time
 	consecutiveErrors atomic.Int32
 
@@ -46,6 +50,18 @@
 	evicted        bool      // closed to make room for another connection
 }
 
+func newSession(server *clientServer, conn net.Conn) *session {
+	now := time.Now()
+	return &session{
+		server:       server,
+		conn:         conn,
+		input:        &clientInput{conn: conn},
+		openedAt:     now,
+		idleSince:    now,
+		noRequestYet: true,
+	}
+}
+
 // clientReply is the reply to a request.
 type clientReply struct {
 	line    string        // the reply, unless pending is set
@@ -60,7 +76,7 @@
 		defer close(writerDone)
 		s.writeReplies(replies)
 	}()
-	reason := s.readRequests(bufio.NewReader(s.conn), replies)
+	reason := s.readRequests(bufio.NewReader(s.input), replies)
 	close(replies)
 	<-writerDone
 	s.recordClose(reason)
@@ -89,7 +105,7 @@
 			return reason
 		}
 		if n := s.consecutiveErrors.Load(); n >= maxConsecutiveErrors {
-			replies <- clientReply{line: replyTooManyErrors}
+			s.rejectArrived(r, replies, replyTooManyErrors)
 			return closedErrors
 		} else if n > 0 {
 			time.Sleep(time.Duration(n) * errorDelay)
@@ -102,23 +118,31 @@
 			large = err == nil
 			return err
 		})
-		s.requestDone(err == nil && !last && r.Buffered() > 0)
+		readWhole := err == nil || errors.Is(err, errLargeRequestLimit)
+		s.requestDone(readWhole && !last && r.Buffered() > 0)
 		switch {
 		case err == nil:
 			reply := s.server.execute(args, last)
 			reply.large = large
 			replies <- reply
 			if last {
+				s.rejectBehind(r, replies, replyClosing)
+				return closedDraining
+			}
+			first = false
+			continue
+		case errors.Is(err, errLargeRequestLimit):
+			replies <- clientReply{line: busyReply(0)}
+			if last {
+				s.rejectBehind(r, replies, replyClosing)
 				return closedDraining
 			}
 			first = false
 			continue
 		case errors.Is(err, errProtocol):
 			replies <- clientReply{line: fmt.Sprintf("-ERR %v\r\n", err), large: large}
+			s.rejectAfterProtocolError(r, replies)
 			return closedProtocol
-		case errors.Is(err, errLargeRequestLimit):
-			replies <- clientReply{line: busyReply(0)}
-			return closedNoCapacity
 		case last && errors.Is(err, os.ErrDeadlineExceeded):
 			replies <- clientReply{line: busyReply(0), large: large}
 			return closedDraining
@@ -303,7 +327,7 @@
 			return clientReply{line: fmt.Sprintf("$%d\r\n%s\r\n", len(args[1]), args[1])}
 		}
 		return clientReply{line: "-ERR PING takes one short argument at most\r\n"}
-	case "MSG.PUT":
+	case putCommand:
 		msg, err := c.parsePut(args[1:], c.clock.Now())
 		if err != nil {
 			return clientReply{line: "-ERR " + err.Error() + "\r\n"}
