Soak: order keys, large messages, and checks of the order and of the call slots

Change: half of the seeds have a class that keeps its order; half of those with bulk calls have bodies of 12 to 45 KiB and five slots. The checker reports a message that arrives while a call with an earlier one of its key is in progress, more calls in progress than slots, and bulk bodies over 64 KiB. The faults of a seed stay the same.

--- a/internal/soak/checker.go
+++ b/internal/soak/checker.go
@@ -18,6 +18,8 @@
 	RuleLate              Rule = "late"           // delivered or reported in a notice after its due time
 	RuleDuplicate         Rule = "duplicate"      // sent again although it must not be
 	RuleSecondCopy        Rule = "second-copy"    // sent again while an earlier call with it was in progress
+	RuleOrder             Rule = "order"          // sent while a call with an earlier message of its key was in progress
+	RuleSlots             Rule = "slots"          // more calls in progress than the sender has slots
 	RuleRejectedExecuted  Rule = "refused-run"    // rejected or returned, but possibly executed by an endpoint
 	RuleSentAfterEnd      Rule = "sent-after-end" // sent after the notice that reported its outcome
 	RuleDrain             Rule = "drain"          // sent to an endpoint that is draining or was removed
@@ -96,6 +98,7 @@
 	dest        int
 	sender      int
 	body        string
+	orderKey    string
 	sentAt      time.Duration
 	deadline    time.Duration // time left until the message is first sent; from then on since the start of the run
 	answer      clientAnswer
@@ -132,6 +135,7 @@
 	retryAfters []map[int][2]time.Duration    // by sender and destination: when a wait was requested, and its end
 	violations  []Violation
 	calls       int
+	order       trafficIndex
 }
 
 func newChecker(scenario *Scenario, start time.Time) *Checker {
@@ -140,6 +144,7 @@
 		start:     start,
 		messages:  map[string]*message{},
 		downtimes: make([][]*downtime, scenario.Senders),
+		order:     newTrafficIndex(scenario.Senders),
 	}
 	for range scenario.Senders {
 		c.drains = append(c.drains, map[*endpoint]time.Duration{})
@@ -175,8 +180,11 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	m.answer, m.answeredAt = answer, c.elapsed()
-	if answer == answerRejected {
+	switch answer {
+	case answerRejected:
 		c.checkRejected(m)
+	case answerAccepted:
+		c.order.accepted(m)
 	}
 }
 
@@ -224,6 +232,7 @@
 		}
 		a := &attempt{endpoint: e, started: started, received: now}
 		c.checkRetry(m, a)
+		c.checkOrder(m, a)
 		m.attempts = append(m.attempts, a)
 		attempts, messages = append(attempts, a), append(messages, m)
 		if m.noticeAt != 0 && m.noticeAt+c.noticeSlack(m) < started {
@@ -238,6 +247,7 @@
 	if len(messages) == 0 {
 		return attempts, messages
 	}
+	c.checkSlots(messages[0].sender, attempts[0])
 	sender := messages[0].sender
 	if since, ok := c.drains[sender][e]; ok &&
 		started > since+c.scenario.DrainGrace+50*time.Millisecond+schedulingSlack {
--- a/internal/soak/clients.go
+++ b/internal/soak/clients.go
@@ -92,17 +92,34 @@
 	if c.rng.IntN(30) == 0 {
 		size = 6000
 	}
+	if sc.LargeBodies && c.rng.IntN(2) == 0 {
+		size = minLargeBody + c.rng.IntN(maxLargeBody-minLargeBody)
+	}
 	id := fmt.Sprintf("m-%d-%d", c.sender.number, c.lastNumber)
-	return &message{
+	m := &message{
 		id:       id,
 		class:    class,
 		dest:     c.rng.IntN(sc.Destinations),
 		sender:   c.sender.number,
 		deadline: timeLeft,
 		body:     "body of " + id + strings.Repeat(".", size),
+		orderKey: noOrderKey,
+	}
+	if class.KeepOrder {
+		m.orderKey = fmt.Sprintf("%016x", 1+m.dest*sc.OrderKeys+c.rng.IntN(sc.OrderKeys))
 	}
+	return m
 }
 
+// noOrderKey stands for a message without an order key.
+const noOrderKey = "0000"
+
+// Sizes of large bodies, in bytes.
+const (
+	minLargeBody = 12 << 10
+	maxLargeBody = 45 << 10
+)
+
 // command returns the MSG.PUT command for the message.
 func (m *message) command(timeLeft time.Duration) string {
 	opts := fmt.Sprintf("c=%s,d=%d,dest=%d", m.class.Name, timeLeft.Milliseconds(), m.dest)
@@ -110,7 +127,7 @@
 		opts += ",k=key-" + m.id
 	}
 	command := "*5\r\n"
-	for _, arg := range []string{"MSG.PUT", "0000", m.id, opts, m.body} {
+	for _, arg := range []string{"MSG.PUT", m.orderKey, m.id, opts, m.body} {
 		command += fmt.Sprintf("$%d\r\n%s\r\n", len(arg), arg)
 	}
 	return command
--- a/internal/soak/endpoint.go
+++ b/internal/soak/endpoint.go
@@ -25,6 +25,7 @@
 	minIdleTimeout      = 30 * time.Millisecond  // under EarlyIdleClose
 	queueSeconds        = 0.5                    // backlog that a destination accepts, in seconds of its capacity
 	maxRetryAfterMS     = 2500
+	maxBodyBytes        = 64 << 10
 	extraMessageLoad    = 0.2 // load of each further message in a call; the first one counts as 1
 )
 
@@ -213,7 +214,7 @@
 	case "/inbox/bulk":
 		var items []bulkItem
 		if err := json.Unmarshal(body, &items); err != nil || len(items) == 0 ||
-			len(items) > e.checker.scenario.MaxBatch {
+			len(items) > e.checker.scenario.MaxBatch || len(body) > maxBodyBytes {
 			e.checker.report(RuleMismatch, -1, "malformed bulk call: %.80q", body)
 			io.WriteString(conn, "HTTP/1.1 400 Bad Request\r\nContent-Length: 0\r\n\r\n")
 			return true
--- a/internal/soak/scenario.go
+++ b/internal/soak/scenario.go
@@ -27,6 +27,7 @@
 	Idempotency  Idempotency
 	DedupPerZone bool // only endpoints of the same zone recognize each other's duplicates
 	Deadline     time.Duration
+	KeepOrder    bool          // messages with the same order key are sent one at a time
 	DedupWindow  time.Duration // how long duplicates are dropped, from the first attempt that may have been executed
 }
 
@@ -51,6 +52,9 @@
 	Rate                    float64       // messages per second at each sender
 	Headroom                float64       // capacity of a destination divided by its traffic
 	MaxBatch                int           // messages per call
+	CallSlots               int           // calls that a sender may have in progress
+	OrderKeys               int           // order keys per destination; 0 if no class keeps its order
+	LargeBodies             bool          // several messages often do not fit in one call
 	MaxAttempts             int           // calls per message
 	MaxOpen                 int           // messages that a sender holds at once
 	SecondCopies            bool          // a message may be sent again while an earlier call with it is in progress
@@ -169,6 +173,7 @@
 		Rate:                    4 + 8*rng.Float64(),
 		Headroom:                1.5 + rng.Float64(),
 		MaxBatch:                []int{1, 1, 10}[rng.IntN(3)],
+		CallSlots:               defaultCallSlots,
 		MaxAttempts:             4 + rng.IntN(5),
 		MaxOpen:                 60 + rng.IntN(200),
 		SecondCopies:            rng.IntN(2) == 0,
@@ -206,6 +211,7 @@
 		}
 	}
 	sc.addCoincidentFaults(rng, only)
+	sc.addTraffic(rand.New(rand.NewPCG(seed, 23)))
 	slices.SortFunc(sc.Faults, func(a, b Fault) int { return int(a.From - b.From) })
 	sc.Faults = sc.withoutConflicts()
 	if unsolicitedShare := []float64{0, 0.1, 0.5}[rng.IntN(3)]; allowsKind(only, UnsolicitedData) {
@@ -214,6 +220,18 @@
 	return sc
 }
 
+// addTraffic adds order keys and large messages. It has a random source of its own, so that the faults of a seed stay
+// the same.
+func (sc *Scenario) addTraffic(rng *rand.Rand) {
+	if rng.IntN(2) == 0 {
+		sc.OrderKeys = 1 + rng.IntN(3)
+		sc.Classes[0].KeepOrder = true
+	}
+	if sc.MaxBatch > 1 && rng.IntN(2) == 0 {
+		sc.LargeBodies, sc.CallSlots, sc.DiskMB = true, fewCallSlots, largeDiskMB
+	}
+}
+
 // addCoincidentFaults adds to restarts the faults that most often expose bugs together with them: steps of the wall
 // clock, disk faults, and destination outages, which leave undelivered messages that the restart could lose.
 func (sc *Scenario) addCoincidentFaults(rng *rand.Rand, only []FaultKind) {
@@ -311,6 +329,13 @@
 	}
 }
 
+const (
+	defaultCallSlots = 16
+	fewCallSlots     = 5   // so that calls which the sender does not count exceed them
+	largeDiskMB      = 8.0 // disk space of a sender for large messages
+	keyCooldown      = time.Second
+)
+
 // processSettleTime is a time after a process fault in which its sender has no other one; withoutConflicts adds 4 s.
 const processSettleTime = 2500 * time.Millisecond
 
@@ -471,6 +496,7 @@
 			"late_worth":  0.4,
 			"idempotency": c.Idempotency,
 			"group":       group,
+			"keep_order":  c.KeepOrder,
 			"window_s":    max(c.DedupWindow, time.Second).Seconds(),
 		})
 	}
@@ -511,10 +537,11 @@
 			"warm_after_s":   sc.Recovery.WarmupTime.Seconds(),
 			"answer_slack_s": 0.02,
 			"ask_every_s":    10,
+			"key_quiet_s":    keyCooldown.Seconds(),
 		},
 		"specifics": map[string]any{
 			"batch_by_kind":   []int{sc.MaxBatch},
-			"call_slots":      16,
+			"call_slots":      sc.CallSlots,
 			"late":            "halves",
 			"separate_routes": []bool{false},
 		},
