A bulk call no longer reads a field of the event loop

Cause: doBulk copied the first attempt as a whole, and since that has a field which the event loop writes when package logic cancels the attempt. The race detector showed it in TestMessagesEndDuringBulkCalls (one run of two of the package); the copy never used the field. Change: only the address and the endpoint are copied. Measured: that test and those of bulk calls six times under the race detector, no report.

--- a/internal/node/bulk.go
+++ b/internal/node/bulk.go
@@ -128,7 +128,7 @@
 		cancel:  cancel,
 		report:  report,
 	}
-	combined := *group[0].call // address, timeout and connection choice of the bulk call
+	combined := call{endpoint: group[0].endpoint, addr: group[0].addr} // the bulk call as one
 	for _, pc := range group {
 		bc.waiting[pc.call] = true
 		combined.timeout, combined.nonRetryable = max(combined.timeout, pc.timeout), combined.nonRetryable || pc.nonRetryable
