--- a/internal/node/journal.go
+++ b/internal/node/journal.go
@@ -87,6 +87,10 @@
 	// acceptFileShare is the share of a file that entries may fill before new messages are rejected. The rest is kept free
 	// for later records of messages that have already been accepted.
 	acceptFileShare = 0.6
+	// minRewriteBytes is the size from which a file is rewritten before it reaches its limit, once it has rewriteFactor times
+	// the size of its live entries. It bounds the time of a replay, in which no process serves the messages.
+	minRewriteBytes = 2 << 20
+	rewriteFactor   = 4
 	// rewriteRetryDelay is the minimum time between rewrites if one fails while it writes the new file.
 	rewriteRetryDelay = 250 * time.Millisecond
 	// maxFileBytes is the size limit of a file if the platform sets no lower one; files count as memory.
@@ -101,7 +105,7 @@
 )
 
 // Journal keeps accepted messages in a file that survives the process. Records are appended; when the file reaches its
-// limit it is rewritten with the live entries only. A Journal is not safe for concurrent use.
+// limit, or is much larger than its live entries, it is rewritten with those only. A Journal is not safe for concurrent use.
 type Journal struct {
 	dir             string
 	file            *os.File
@@ -120,6 +124,7 @@
 	lastWriteFailed bool
 
 	rewriteFailedAt time.Time // when writing the new file of a rewrite last failed
+	rewriteAfter    time.Time // no rewrite before the limit of the file until then, since one has failed
 
 	skippedBytes int64 // bytes that replay left out: an incomplete last record, or a damaged one and all that follows
 
@@ -349,11 +354,19 @@
 	if err := j.truncateTail(); err != nil {
 		return err
 	}
-	if j.size+int64(len(pending)+len(added)) > j.maxBytes {
+	size := j.size + int64(len(pending)+len(added))
+	switch {
+	case size > j.maxBytes:
 		if err := j.Compact(); err != nil { // includes the pending records
 			return err
 		}
 		pending = nil
+	case size > max(minRewriteBytes, rewriteFactor*j.liveBytes) && time.Now().After(j.rewriteAfter):
+		if err := j.Compact(); err != nil { // the file still has room
+			j.rewriteAfter = time.Now().Add(rewriteRetryDelay)
+		} else {
+			pending = nil
+		}
 	}
 	b := append(pending, added...)
 	if j.size+int64(len(b)) > j.maxBytes {
--- a/internal/node/journal_test.go
+++ b/internal/node/journal_test.go
@@ -238,3 +238,40 @@
 	e.expectNoCall(t)
 	stopAndCheckEmpty(t, n)
 }
+
+// Guards against a long replay, in which no process serves the messages: a file with few live entries is rewritten long
+// before it reaches its limit, also after a rewrite has failed.
+func TestJournalIsRewrittenBeforeItsLimit(t *testing.T) {
+	dir := t.TempDir()
+	j := openJournal(t, dir, 100e6)
+	blocked := filepath.Join(dir, journalFile+rewriteSuffix)
+	if err := os.MkdirAll(filepath.Join(blocked, "x"), 0o700); err != nil {
+		t.Fatal(err)
+	}
+	mustAppend(t, j, acceptRecord("live", 1000))
+	appendEnded := func(bytes int) {
+		for i := 0; bytes > 0; i++ {
+			id := fmt.Sprint("m", i)
+			mustAppend(t, j, acceptRecord(id, 10000), record{Op: opDone, ID: id})
+			bytes -= 10000
+		}
+	}
+	appendEnded(2 * minRewriteBytes)
+	if j.size < 2*minRewriteBytes {
+		t.Fatalf("rewritten to %d bytes although the new file could not be created", j.size)
+	}
+	if err := os.RemoveAll(blocked); err != nil {
+		t.Fatal(err)
+	}
+	time.Sleep(2 * rewriteRetryDelay)
+	for range 3 {
+		appendEnded(minRewriteBytes)
+		if j.size > minRewriteBytes+20000 {
+			t.Errorf("%d bytes with one live entry", j.size)
+		}
+	}
+	again := openJournal(t, dir, 100e6)
+	if again.Entry("live") == nil || len(again.entries) != 1 {
+		t.Errorf("%d entries after a replay", len(again.entries))
+	}
+}
