After a long start the list of the agent counts before the first call

Where lists are pushed, what the agent has counts as told "from the first moment of a new process", so after a long replay the grace of a drain is over. Only a standby process without a predecessor waited for the list; one whose handover failed after the release did not.

--- a/internal/node/loop.go
+++ b/internal/node/loop.go
@@ -72,6 +72,7 @@
 	reloadRequested chan struct{} // holds one token while a reload without a signal is pending
 	watchFromStart  bool          // watch discovery without waiting for package logic to ask
 	wasStandby      bool          // another process owned the journal when this one started
+	resumed         bool          // this process has continued from the journal, not from the state of another
 	stateLock       *os.File      // lock on the state folder; nil while another process owns it
 	listener        net.Listener  // for clients
 
@@ -207,7 +208,7 @@
 	if n.watchFromStart {
 		n.discovery.startWatch(workCtx)
 	}
-	if n.wasStandby && n.predecessor == nil {
+	if n.resumed && (n.wasStandby || time.Since(n.startedAt) > n.maxStartWithoutList()) {
 		n.awaitInitialList(workCtx)
 	}
 	n.step(workCtx) // handle journaled messages before new ones: some may be due to end
@@ -270,9 +271,15 @@
 	return nil
 }
 
+// maxStartWithoutList is how long after its start a process may send by the list of its configuration. What the local
+// discovery agent has counts as known from the start, and sends must end within the grace of a drain.
+func (n *Node) maxStartWithoutList() time.Duration {
+	return toDuration(n.cfg.Deployment.Settings.DrainGrace) / 2
+}
+
 // awaitInitialList waits up to initialListTimeout for the endpoint list if discovery is watched from the start, because
-// a local discovery agent then has the list at once. A standby process that takes over without a handover replaces one
-// that may have seen changes which are missing from the list in the standby process's configuration.
+// a local discovery agent then has the list at once. The list in the configuration may lack changes that count as known:
+// after a long start, and in a standby process, which replaces one that may have seen them.
 func (n *Node) awaitInitialList(workCtx context.Context) {
 	timeout := time.NewTimer(initialListTimeout)
 	defer timeout.Stop()
@@ -388,6 +395,7 @@
 
 // resumeFromJournal passes the journaled messages to package logic, with the outcome of their attempts so far.
 func (n *Node) resumeFromJournal() {
+	n.resumed = true
 	if n.cfg.KnownList.Generation != 0 || len(n.cfg.KnownList.Instances) > 0 {
 		n.discovery.generation, n.discovery.hasList = n.cfg.KnownList.Generation, true
 		n.pendingEvents = append(n.pendingEvents, logic.EndpointUpdate{
