Endpoints that replace all those of a failing destination are as cold as they were

Cause: an endpoint that joins a destination took over the state of the outage from the listed ones only.

--- a/logic/calls.go
+++ b/logic/calls.go
@@ -45,8 +45,8 @@
 
 // abandonIfShared abandons an attempt that was cancelled or has timed out, if its call goes on for other
 // messages. The message may then be sent again beside it, where that is allowed. Until the call ends, the
-// attempt remains in flight: it keeps its slot, and later messages with the same order key wait. A message has
-// at most one such attempt, so that no more than two are in flight at once.
+// attempt remains in flight: it keeps its slot, and later messages with the same order key wait. A message
+// has one such attempt at most, so that no more than two are in flight at once.
 func (s *Sender) abandonIfShared(a *attempt) {
 	m := a.msg
 	if !s.cfg.SecondCopies || a.abandoned || m.abandoned != nil || m.ended || s.waitsUntil(a) == never {
--- a/logic/logic.go
+++ b/logic/logic.go
@@ -180,7 +180,7 @@
 		s.endpoints[e.id] = e
 		// An endpoint that joins a destination during an outage is as cold as its siblings: the overload that
 		// makes the destination fail again is shared.
-		for _, sibling := range d.endpoints {
+		for _, sibling := range s.siblingsOrReplaced(d) {
 			if sibling.cold && e.limiter == sibling.limiter {
 				s.setStatus(e, e.state, sibling.ejected)
 				e.cold, e.upAt, e.trialAt, e.lastFail, e.ejectedAt = true, sibling.upAt, sibling.trialAt,
--- a/logic/outage_test.go
+++ b/logic/outage_test.go
@@ -146,3 +146,40 @@
 		}
 	}
 }
+
+// Guards against a destination that is overloaded on its return: the state of its outage was lost when all of its
+// endpoints were replaced in one change of the list.
+func TestReplacedEndpointsOfColdDestination(t *testing.T) {
+	for _, count := range []int{1, 3} {
+		cfg := baseSettings()
+		cfg.CallSlots = 60
+		h := newHarness(t, cfg)
+		h.step(0, fullList(count))
+		at := h.deliverMany(1, 20)
+		for limit := at + 8; at < limit; at += 0.2 { // the destination fails all calls
+			for _, c := range actionsOf[Send](h.step(at, h.message(0))) {
+				h.step(at+0.05, result(c.ID, c.Endpoint, h.s.msgs[c.ID].inFlight.number, Errored))
+			}
+		}
+		change := EndpointUpdate{Kind: UpdateDelta}
+		for i := 1; i <= count; i++ {
+			change.Entries = append(change.Entries, EndpointEntry{Endpoint: EndpointID(i), Dest: 9, State: Removed},
+				EndpointEntry{Endpoint: EndpointID(10 + i), Dest: 9})
+		}
+		sends := actionsOf[Send](h.step(at, change))
+		calls := len(sends)
+		for limit := at + 4; at < limit; at += 0.05 {
+			var answers []Event
+			for _, c := range sends {
+				answers = append(answers, result(c.ID, c.Endpoint, h.s.msgs[c.ID].inFlight.number, Delivered))
+			}
+			sends = actionsOf[Send](h.step(at+0.05, append(answers, h.message(0), h.message(0))...))
+			calls += len(sends)
+		}
+		// The capacity is known as three calls per second, of which a cold destination bears twice a fifth. Without an
+		// outage, all of the 160 messages are sent.
+		if calls == 0 || calls > 12 {
+			t.Errorf("%d endpoints: %d calls within 4 s of the replacement", count, calls)
+		}
+	}
+}
--- a/logic/state.go
+++ b/logic/state.go
@@ -238,6 +238,20 @@
 	e.dest.endpoints = slices.DeleteFunc(e.dest.endpoints, func(x *endpoint) bool { return x == e })
 }
 
+// siblingsOrReplaced returns the listed endpoints of d. If there is none, it returns those that were removed
+// not long ago: an endpoint that joins d then replaces them, and an outage of d goes on.
+func (s *Sender) siblingsOrReplaced(d *dest) (endpoints []*endpoint) {
+	if len(d.endpoints) > 0 {
+		return d.endpoints
+	}
+	for _, e := range s.removed {
+		if e.dest == d && e.state == Removed {
+			endpoints = append(endpoints, e)
+		}
+	}
+	return endpoints
+}
+
 // dropUnused drops state that nothing refers to any more: endpoints that were removed from the list long ago,
 // idle destinations without endpoints and messages, and empty key queues. Otherwise memory use would grow
 // over the life of a process.
