Refusals without a report are no lack of connections where answers never carry one

Cause: as soon as any destination had reported a limit, each 503 without a report counted as a lack of connections, also at a destination that never reports: such refusals are resent soon and no sign of an outage. A report is optional for each answer ("any answer may carry one"). Change: a destination that has delivered without a report and never sent one is known to send none; its refusals count as refusals. Before the first such answer, and where reports come, nothing changes. TestRefusalsOfDestinationWithoutReports without the change: the refusal does not count.

--- a/logic/logic.go
+++ b/logic/logic.go
@@ -863,7 +863,7 @@
 	}
 	e := a.endpoint
 	lastOfCall := s.finishAttempt(a)
-	refusalRate, connShortage := s.refusalRate[e.dest.kind]*(1-refusalAlpha), s.isConnShortage(r)
+	refusalRate, connShortage := s.refusalRate[e.dest.kind]*(1-refusalAlpha), s.isConnShortage(e.limiter, r)
 	switch {
 	case connShortage:
 		s.scarceUntil[e.dest.kind] = s.now + connShortageTime
@@ -871,7 +871,7 @@
 		refusalRate += refusalAlpha
 	}
 	s.refusalRate[e.dest.kind] = refusalRate
-	s.applyReport(e, r.Load)
+	s.applyReport(e, r)
 	if r.Outcome == Delivered || r.Outcome == Refused || r.Outcome == Errored {
 		e.resets = 0
 	}
@@ -1054,11 +1054,13 @@
 	}
 }
 
-// isConnShortage reports whether a call was refused because the endpoint had no connection free. Where
-// answers carry load reports, such a refusal has none: it is sent before the call reaches any part of
-// the endpoint that knows the limits.
-func (s *Sender) isConnShortage(r AttemptResult) bool {
-	return r.Outcome == Refused && r.RetryAfter == 0 && len(r.Load) == 0 && s.hasLoadReports()
+// isConnShortage reports whether a call through l was refused because the endpoint had no connection free.
+// Where answers carry load reports, such a refusal has none: it is sent before the call reaches any part of
+// the endpoint that knows the limits. Where a destination delivers without reports, their absence says
+// nothing.
+func (s *Sender) isConnShortage(l *limiter, r AttemptResult) bool {
+	return r.Outcome == Refused && r.RetryAfter == 0 && len(r.Load) == 0 && s.hasLoadReports() &&
+		!l.reportless
 }
 
 // hasLoadReports reports whether the limit of any destination is known from a load report.
--- a/logic/outage_test.go
+++ b/logic/outage_test.go
@@ -183,3 +183,35 @@
 		}
 	}
 }
+
+// Guards against an outage that is taken for a lack of connections: refusals without a load report say nothing at a
+// destination that delivers without reports, even if another destination sends them.
+func TestRefusalsOfDestinationWithoutReports(t *testing.T) {
+	for _, reports := range []bool{false, true} {
+		cfg := baseSettings()
+		cfg.LoadRemainingIndex, cfg.LoadLimitIndex = 0, 1
+		h := newHarness(t, cfg)
+		list := fullList(1)
+		list.Entries = append(list.Entries, EndpointEntry{Endpoint: 2, Dest: 8})
+		h.step(0, list)
+		m := h.message(0)
+		m.Dest = 8
+		h.step(0.1, m)
+		r := result(m.ID, 2, 0, Delivered)
+		r.Load = []float64{0.5, 100}
+		h.step(0.2, r) // the other destination has a limit
+		m = h.message(0)
+		h.step(0.3, m)
+		r = result(m.ID, 1, 0, Delivered)
+		if reports {
+			r.Load = []float64{0, 0}
+		}
+		h.step(0.4, r)
+		m = h.message(0)
+		h.step(0.5, m)
+		h.step(0.6, result(m.ID, 1, 0, Refused))
+		if slowed := h.s.endpoints[1].limiter.refusals > 0; slowed == reports {
+			t.Errorf("reports %v: the refusal counts as one: %v", reports, slowed)
+		}
+	}
+}
--- a/logic/snapshot.go
+++ b/logic/snapshot.go
@@ -74,6 +74,7 @@
 	ServedAt       []Micros `json:"Served,omitempty"` // not written by older builds
 	PeakRate       float64  `json:"Peak"`
 	Jitter         float64  `json:"Phase"`
+	Reportless     bool     `json:",omitempty"` // not written by older builds
 }
 
 type destState struct {
@@ -188,6 +189,7 @@
 		l.servedAt,
 		l.peakRate,
 		l.jitter,
+		l.reportless,
 	}
 }
 
@@ -208,6 +210,7 @@
 		state.ServedAt,
 		state.PeakRate,
 		state.Jitter,
+		state.Reportless,
 	}
 }
 
--- a/logic/state.go
+++ b/logic/state.go
@@ -45,6 +45,8 @@
 	servedAt []Micros
 	peakRate float64 // most calls served within a second
 	jitter   float64 // 0 to 1, drawn at each call: spaces the next one differently from those of other senders
+
+	reportless bool // answers of success carry no load report
 }
 
 // endpoint is an endpoint that is listed, or that was removed from the list not long ago.
@@ -358,7 +360,14 @@
 }
 
 // applyReport records the limit that an answer reported.
-func (s *Sender) applyReport(e *endpoint, load []float64) {
+func (s *Sender) applyReport(e *endpoint, r AttemptResult) {
+	load := r.Load
+	switch {
+	case len(load) > 0:
+		e.limiter.reportless = false
+	case r.Outcome == Delivered && !e.limiter.reported:
+		e.limiter.reportless = true
+	}
 	if i := s.cfg.LoadLimitIndex; i >= 0 && i < len(load) && load[i] > 0 {
 		if !e.limiter.reported && e.limiter == e.dest.limiter {
 			s.reportedLimits++
