A process that takes over without a handover asks for the list first in either mode

It waited for a newer list only where lists are pushed; on request, the first request came with the first step, after a random delay. Evidence: the log of that sender: the handover failed, the new process waited for the owner's end, then the call, and the list 0.3 s after it. Ruled out: a restored state (there was no handover) and a late abort (the call was decided with the old list). Measured: TestTakeoverWithoutHandoverUsesNewList, now for both modes, fails for lists on request without the change and passes with it.

--- a/internal/node/discovery.go
+++ b/internal/node/discovery.go
@@ -232,21 +232,22 @@
 // agent. A sender must act on what the agent has from the start of the process, so the first watch begins without delay
 // and ends only when the address changes. It belongs to the event loop.
 type discoveryClient struct {
-	addr         string
-	pushed       bool
-	client       *http.Client
-	log          *slog.Logger
-	events       chan<- any
-	senders      int   // number of senders that call discovery
-	generation   int64 // of the list that the event loop has
-	hasList      bool  // the event loop has a list, perhaps a cached one
-	watching     bool
-	receivedList bool                // discovery has sent a list since the start of this process
-	epoch        int                 // number of address changes
-	stopWatch    context.CancelFunc  // stops the current watch
-	watchHold    time.Duration       // longest hold time of a watch
-	bodyTimeout  time.Duration       // for the body of a response, after its header
-	randN        func(n int64) int64 // random number in [0, n)
+	addr          string
+	pushed        bool
+	noStartSpread bool // the first watch begins at once: this process replaces one that had the list
+	client        *http.Client
+	log           *slog.Logger
+	events        chan<- any
+	senders       int   // number of senders that call discovery
+	generation    int64 // of the list that the event loop has
+	hasList       bool  // the event loop has a list, perhaps a cached one
+	watching      bool
+	receivedList  bool                // discovery has sent a list since the start of this process
+	epoch         int                 // number of address changes
+	stopWatch     context.CancelFunc  // stops the current watch
+	watchHold     time.Duration       // longest hold time of a watch
+	bodyTimeout   time.Duration       // for the body of a response, after its header
+	randN         func(n int64) int64 // random number in [0, n)
 }
 
 func newDiscoveryClient(addr string, senders int, log *slog.Logger, events chan<- any) *discoveryClient {
@@ -327,7 +328,7 @@
 // start to act on changes, and the cached list is good enough for part of that time. In pushed mode it must act at once
 // on what the local agent has. Only the first watch is delayed: later ones follow a failed call and the pause after it.
 func (d *discoveryClient) watchStartSpread() time.Duration {
-	if d.pushed || d.receivedList || !d.hasList || d.stopWatch != nil {
+	if d.pushed || d.noStartSpread || d.receivedList || !d.hasList || d.stopWatch != nil {
 		return 0
 	}
 	return d.fleetStartSpread()
--- a/internal/node/faults_test.go
+++ b/internal/node/faults_test.go
@@ -512,11 +512,18 @@
 // A standby process that takes over without a handover continues for the same sender. Changes of the list that the
 // previous owner has received must apply to it too, although its own list may be older.
 func TestTakeoverWithoutHandoverUsesNewList(t *testing.T) {
+	for _, mode := range []string{"pushed", "on_request"} {
+		t.Run(mode, func(t *testing.T) { checkTakeoverWithoutHandover(t, mode) })
+	}
+}
+
+func checkTakeoverWithoutHandover(t *testing.T, mode string) {
+	t.Helper()
 	p, dir := newPlatform(t), t.TempDir()
 	available, draining := newEndpoint(t), newEndpoint(t)
 	old := EndpointList{Generation: 1, Reset: true, Instances: instances(available, draining)}
 	p.list = old
-	text := []byte(strings.Replace(string(configText(p, old)), `"on_request"`, `"pushed"`, 1))
+	text := []byte(strings.Replace(string(configText(p, old)), `"on_request"`, fmt.Sprintf("%q", mode), 1))
 	proc := execProcess(t, p, dir, text)
 	proc.adminAddr, proc.addr = receive(t, proc.adminReady, "operators' address"), receive(t, proc.ready, "ready program")
 	p.update(func() {
--- a/internal/node/loop.go
+++ b/internal/node/loop.go
@@ -205,10 +205,14 @@
 	}
 	defer n.stateLock.Close()
 	defer n.journal.Close()
-	if n.watchFromStart {
+	takeover := n.resumed && n.wasStandby
+	if takeover {
+		n.discovery.noStartSpread = true
+	}
+	if n.watchFromStart || takeover {
 		n.discovery.startWatch(workCtx)
 	}
-	if n.resumed && (n.wasStandby || time.Since(n.startedAt) > n.maxStartWithoutList()) {
+	if takeover || n.resumed && time.Since(n.startedAt) > n.maxStartWithoutList() {
 		n.awaitInitialList(workCtx)
 	}
 	n.step(workCtx) // handle journaled messages before new ones: some may be due to end
@@ -277,13 +281,13 @@
 	return toDuration(n.cfg.Deployment.Settings.DrainGrace) / 2
 }
 
-// awaitInitialList waits up to initialListTimeout for the endpoint list if discovery is watched from the start, because
-// a local discovery agent then has the list at once. The list in the configuration may lack changes that count as known:
-// after a long start, and in a standby process, which replaces one that may have seen them.
+// awaitInitialList waits up to initialListTimeout for the endpoint list if discovery is watched already. The list in the
+// configuration may lack changes that count as known: after a long start, where a local agent has the list, and in a
+// standby process, which replaces one that may have seen them.
 func (n *Node) awaitInitialList(workCtx context.Context) {
 	timeout := time.NewTimer(initialListTimeout)
 	defer timeout.Stop()
-	for n.watchFromStart && !n.discovery.receivedList {
+	for n.discovery.watching && !n.discovery.receivedList {
 		select {
 		case ev := <-n.events:
 			n.handleEvent(workCtx, ev)
