Soak: bursts of large messages, and ordered messages at a silent endpoint

Change: some seeds have clients that submit eight large messages with one write, or a message with an order key together with one that may not be repeated while one endpoint is silent.

--- a/internal/soak/clients.go
+++ b/internal/soak/clients.go
@@ -23,6 +23,7 @@
 type clients struct {
 	sender *sender
 	rng    *rand.Rand
+	prefix string // of the numbers in message ids, so that those of several clients of a sender differ
 
 	mu         sync.Mutex
 	idle       []*clientConn
@@ -82,7 +83,12 @@
 // newMessage returns a random message. Its deadline is still relative to the time of its submission.
 func (c *clients) newMessage() *message {
 	sc := c.sender.run.scenario
-	class := &sc.Classes[c.rng.IntN(len(sc.Classes))]
+	return c.newMessageOf(&sc.Classes[c.rng.IntN(len(sc.Classes))])
+}
+
+// newMessageOf returns a random message of a class.
+func (c *clients) newMessageOf(class *Class) *message {
+	sc := c.sender.run.scenario
 	timeLeft := class.Deadline
 	if c.rng.IntN(12) == 0 { // sometimes with little time left
 		timeLeft = time.Duration(float64(timeLeft) * c.rng.Float64() / 4)
@@ -95,7 +101,7 @@
 	if sc.LargeBodies && c.rng.IntN(2) == 0 {
 		size = minLargeBody + c.rng.IntN(maxLargeBody-minLargeBody)
 	}
-	id := fmt.Sprintf("m-%d-%d", c.sender.number, c.lastNumber)
+	id := fmt.Sprintf("m-%d-%s%d", c.sender.number, c.prefix, c.lastNumber)
 	m := &message{
 		id:       id,
 		class:    class,
@@ -103,14 +109,19 @@
 		sender:   c.sender.number,
 		deadline: timeLeft,
 		body:     "body of " + id + strings.Repeat(".", size),
-		orderKey: noOrderKey,
-	}
-	if class.KeepOrder {
-		m.orderKey = fmt.Sprintf("%016x", 1+m.dest*sc.OrderKeys+c.rng.IntN(sc.OrderKeys))
 	}
+	c.setDestination(m, m.dest)
 	return m
 }
 
+// setDestination sets the destination of a message and one of its order keys.
+func (c *clients) setDestination(m *message, dest int) {
+	m.dest, m.orderKey = dest, noOrderKey
+	if keys := c.sender.run.scenario.OrderKeys; m.class.KeepOrder {
+		m.orderKey = fmt.Sprintf("%016x", 1+dest*keys+c.rng.IntN(keys))
+	}
+}
+
 // noOrderKey stands for a message without an order key.
 const noOrderKey = "0000"
 
@@ -204,6 +215,34 @@
 	return nil, nil
 }
 
+// submitLargeBurst submits several large messages for one destination with one write.
+func (c *clients) submitLargeBurst() {
+	const count = 8
+	var batch []*message
+	for i := range count {
+		m := c.newMessage()
+		c.setDestination(m, 0)
+		m.body = fmt.Sprintf("burst %d of %s%s", i, m.id, strings.Repeat(".", maxLargeBody/2))
+		batch = append(batch, m)
+	}
+	c.submit(batch)
+}
+
+// submitOrderedPair submits a message with an order key together with one that may not be repeated, and a little later
+// another one with the same key, all for the destination of the SilentEndpoint fault.
+func (c *clients) submitOrderedPair() {
+	classes := c.sender.run.scenario.Classes
+	earlier, later, other := c.newMessageOf(&classes[0]), c.newMessageOf(&classes[0]), c.newMessageOf(&classes[2])
+	for _, m := range []*message{earlier, later, other} {
+		c.setDestination(m, 0)
+		m.body = "short body of " + m.id
+	}
+	later.orderKey = earlier.orderKey
+	c.submit([]*message{earlier, other})
+	time.Sleep(200 * time.Millisecond)
+	c.submit([]*message{later})
+}
+
 // sendIncompleteRequest sends part of a request and checks that the sender answers with an error or closes the
 // connection.
 func (c *clients) sendIncompleteRequest() {
--- a/internal/soak/order_test.go
+++ b/internal/soak/order_test.go
@@ -65,3 +65,15 @@
 		}
 	}
 }
+
+// The seeds of CI must have the traffic that they are run for.
+func TestSeedsWithTrafficOfTheirOwn(t *testing.T) {
+	for seed, kinds := range map[uint64][]FaultKind{74: {OrderedPairs, SilentEndpoint}, 12058: {LargeBursts}} {
+		sc := Generate(seed, 6, 12*time.Second, nil)
+		for _, kind := range kinds {
+			if !slices.ContainsFunc(sc.Faults, func(f Fault) bool { return f.Kind == kind }) {
+				t.Errorf("seed %d has no %s", seed, kind)
+			}
+		}
+	}
+}
--- a/internal/soak/run.go
+++ b/internal/soak/run.go
@@ -249,6 +249,14 @@
 			sleep(ctx, duration)
 			e.setFault("")
 		}
+	case SilentEndpoint:
+		if e := r.faultEndpoint(fault); e != nil {
+			e.setFault(Unresponsive)
+			sleep(ctx, duration)
+			e.setFault("")
+		}
+	case LargeBursts, OrderedPairs:
+		r.submitExtra(ctx, fault)
 	case EndpointDrain, EndpointReplacement:
 		r.replaceEndpoint(ctx, fault)
 	case DiscoveryDown, DiscoverySlow:
@@ -271,6 +279,23 @@
 	}
 }
 
+// submitExtra submits the messages of LargeBursts or OrderedPairs until the end of the fault.
+func (r *run) submitExtra(ctx context.Context, fault Fault) {
+	const interval = 250 * time.Millisecond
+	c := newClients(r.senders[fault.Sender])
+	c.prefix = fmt.Sprintf("%s-%d-", fault.Kind, fault.From.Milliseconds())
+	for end := time.Now().Add(fault.To - fault.From); time.Now().Before(end); {
+		if fault.Kind == LargeBursts {
+			c.submitLargeBurst()
+		} else {
+			c.submitOrderedPair()
+		}
+		if !sleep(ctx, interval) {
+			return
+		}
+	}
+}
+
 // faultEndpoint returns the endpoint that a fault affects, or nil if its destination has none.
 func (r *run) faultEndpoint(fault Fault) *endpoint {
 	r.mu.Lock()
--- a/internal/soak/scenario.go
+++ b/internal/soak/scenario.go
@@ -112,6 +112,13 @@
 
 	IncompleteRequests FaultKind = "half-requests"
 	CommandFloods      FaultKind = "floods"
+
+	// LargeBursts and OrderedPairs are traffic rather than faults: several large messages at once for one destination, and
+	// messages with an order key, each in one write with one that may not be repeated, while an endpoint is unresponsive.
+	LargeBursts  FaultKind = "large-bursts"
+	OrderedPairs FaultKind = "ordered-pairs"
+	// SilentEndpoint is Unresponsive for one endpoint while the others of its destination serve.
+	SilentEndpoint FaultKind = "silent-endpoint"
 )
 
 // processFaults stop, replace or reconfigure a process. They must not overlap on the same sender.
@@ -211,7 +218,7 @@
 		}
 	}
 	sc.addCoincidentFaults(rng, only)
-	sc.addTraffic(rand.New(rand.NewPCG(seed, 23)))
+	sc.addTraffic(rand.New(rand.NewPCG(seed, 23)), only)
 	slices.SortFunc(sc.Faults, func(a, b Fault) int { return int(a.From - b.From) })
 	sc.Faults = sc.withoutConflicts()
 	if unsolicitedShare := []float64{0, 0.1, 0.5}[rng.IntN(3)]; allowsKind(only, UnsolicitedData) {
@@ -220,9 +227,9 @@
 	return sc
 }
 
-// addTraffic adds order keys and large messages. It has a random source of its own, so that the faults of a seed stay
-// the same.
-func (sc *Scenario) addTraffic(rng *rand.Rand) {
+// addTraffic adds order keys and large messages, and what makes them meet outages. It has a random source of its own, so
+// that the other faults of a seed stay the same.
+func (sc *Scenario) addTraffic(rng *rand.Rand, only []FaultKind) {
 	if rng.IntN(2) == 0 {
 		sc.OrderKeys = 1 + rng.IntN(3)
 		sc.Classes[0].KeepOrder = true
@@ -230,6 +237,25 @@
 	if sc.MaxBatch > 1 && rng.IntN(2) == 0 {
 		sc.LargeBodies, sc.CallSlots, sc.DiskMB = true, fewCallSlots, largeDiskMB
 	}
+	add := func(kind FaultKind, from time.Duration) {
+		if allowsKind(only, kind) {
+			sc.Faults = append(sc.Faults,
+				Fault{Kind: kind, From: from, To: from + trafficTime, Sender: rng.IntN(sc.Senders), Destination: -1})
+		}
+	}
+	randomStart := func() time.Duration { return time.Duration(rng.Float64() * 0.7 * float64(sc.Duration)) }
+	if sc.LargeBodies {
+		for range 4 {
+			add(LargeBursts, randomStart())
+		}
+	}
+	if sc.OrderKeys > 0 && sc.SecondCopies && sc.MaxBatch > 1 && allowsKind(only, SilentEndpoint) {
+		from := randomStart()
+		add(OrderedPairs, from)
+		add(OrderedPairs, from)
+		sc.Faults = append(sc.Faults,
+			Fault{Kind: SilentEndpoint, From: from, To: from + trafficTime + silentTime, Sender: -1, Destination: 0})
+	}
 }
 
 // addCoincidentFaults adds to restarts the faults that most often expose bugs together with them: steps of the wall
@@ -334,6 +360,8 @@
 	fewCallSlots     = 5   // so that calls which the sender does not count exceed them
 	largeDiskMB      = 8.0 // disk space of a sender for large messages
 	keyCooldown      = time.Second
+	silentTime       = 4 * time.Second // of a SilentEndpoint after the OrderedPairs
+	trafficTime      = 2 * time.Second // of LargeBursts and OrderedPairs
 )
 
 // processSettleTime is a time after a process fault in which its sender has no other one; withoutConflicts adds 4 s.
