--- a/logic/calls_test.go
+++ b/logic/calls_test.go
@@ -212,21 +212,27 @@
 	}
 }
 
-// A snapshot taken while a message has a second copy in flight keeps both attempts.
-func TestSnapshotWithSecondCopy(t *testing.T) {
-	cfg := bulkSettings()
-	h := newHarness(t, cfg)
-	h.step(0, fullList(2))
-	m := h.message(0)
-	h.secondCopy(h.sharedCall(m), m.ID)
+// restored returns a Sender that continues from a snapshot.
+func (h *harness) restored() *Sender {
+	h.t.Helper()
 	text, err := h.s.Snapshot()
 	if err != nil {
-		t.Fatal(err)
+		h.t.Fatal(err)
 	}
-	restored, err := Restore(cfg, text)
+	restored, err := Restore(h.s.cfg, text)
 	if err != nil {
-		t.Fatal(err)
+		h.t.Fatal(err)
 	}
+	return restored
+}
+
+// A snapshot taken while a message has a second copy in flight keeps both attempts.
+func TestSnapshotWithSecondCopy(t *testing.T) {
+	h := newHarness(t, bulkSettings())
+	h.step(0, fullList(2))
+	m := h.message(0)
+	h.secondCopy(h.sharedCall(m), m.ID)
+	restored := h.restored()
 	r := restored.msgs[m.ID]
 	if r.abandoned == nil || r.inFlight == nil || r.abandoned.number != 0 || r.inFlight.number != 1 {
 		t.Fatalf("restored with the attempts %v and %v", r.abandoned, r.inFlight)
@@ -238,17 +244,9 @@
 
 // A message of unknown size, from the snapshot of an older build, shares no call.
 func TestRestoredMessageOfUnknownSize(t *testing.T) {
-	cfg := bulkSettings()
-	h := newHarness(t, cfg)
+	h := newHarness(t, bulkSettings())
 	h.step(1, h.message(0), h.message(0)) // no endpoint is listed yet
-	text, err := h.s.Snapshot()
-	if err != nil {
-		t.Fatal(err)
-	}
-	restored, err := Restore(cfg, text)
-	if err != nil {
-		t.Fatal(err)
-	}
+	restored := h.restored()
 	sends := actionsOf[Send](restored.Step(sec(2), []Event{fullList(1)}))
 	if len(sends) != 2 || sends[0].Call == sends[1].Call {
 		t.Errorf("sent %v, want two calls", sends)
