The guard permits a second copy by the rule alone, and no step without calls groups them

What callers saw: nothing yet; found by reading the change again. Where attempts cannot be cancelled and second copies are allowed, package logic sends a message of a bulk call again after its timeout, and the guard denied that and counted a violation: it asked for a cancellation. Cause: gave the guard a copy of package logic's decision (a field of the call, also sent at a handover) instead of the rule: two attempts at most where second copies are allowed, one where not. Change: the guard checks the rule; the field and its transfer go, and with them the one that doBulk had raced on. A step without new calls no longer makes a map for them. Measured: TestGuardDeniesSend has both cases; the permitted one fails before. Tests of guard, bulk calls, handover, relay and cancels pass; the whole suite was not run on this commit when it was made.

--- a/internal/node/attempts.go
+++ b/internal/node/attempts.go
@@ -90,6 +90,9 @@
 // sendPendingCalls sends the calls of the current step. Package logic decides which attempts travel in one call: slots,
 // pace and slow start count calls, both there and at the endpoint.
 func (n *Node) sendPendingCalls(workCtx context.Context) {
+	if len(n.pendingCalls) == 0 {
+		return
+	}
 	groups := map[int][]pendingCall{}
 	var order []int
 	for _, pending := range n.pendingCalls {
@@ -153,7 +156,6 @@
 		if abort {
 			c.state.CompareAndSwap(callConnecting, callAborted)
 		}
-		c.cancelled = true
 		n.inFlight[c]()
 	}
 }
--- a/internal/node/calls.go
+++ b/internal/node/calls.go
@@ -41,7 +41,6 @@
 	messageCount int // messages in the request
 
 	journaled bool // the attempt is recorded in the journal
-	cancelled bool // package logic has cancelled the attempt; used by the event loop only
 	number    int  // of the call within its step: attempts of a step with the same number travel together
 }
 
--- a/internal/node/guard.go
+++ b/internal/node/guard.go
@@ -127,10 +127,10 @@
 	return g.checkRepeat(entry, info.zone, now)
 }
 
-// mayHaveSecondCopy reports whether a message may be sent while its latest attempt is in flight: that one is cancelled, it
-// is the only one in flight, and the settings allow a second copy.
+// mayHaveSecondCopy reports whether a message may be sent while its latest attempt is in flight: the settings allow a
+// second copy, and that attempt is the only one in flight.
 func (n *Node) mayHaveSecondCopy(m *activeMessage) bool {
-	return n.cfg.Deployment.Settings.SecondCopies && m.call.cancelled && m.abandoned == nil
+	return n.cfg.Deployment.Settings.SecondCopies && m.abandoned == nil
 }
 
 // checkRepeat returns the rule that a further attempt would break because an earlier one may have run, or noViolation.
--- a/internal/node/guard_test.go
+++ b/internal/node/guard_test.go
@@ -21,6 +21,12 @@
 		{violationAlreadyEnded, "safe", func(_ *Node, _ *activeMessage, e *Entry) { e.End = &Notice{} }},
 		{violationNotAccepted, "safe", func(n *Node, _ *activeMessage, _ *Entry) { delete(n.journal.entries, id) }},
 		{violationAlreadyInFlight, "safe", func(_ *Node, m *activeMessage, _ *Entry) { m.call = &call{} }},
+		{noViolation, "safe", func(n *Node, m *activeMessage, _ *Entry) {
+			n.cfg.Deployment.Settings.SecondCopies, m.call = true, &call{} // cancelled or timed out
+		}},
+		{violationAlreadyInFlight, "safe", func(n *Node, m *activeMessage, _ *Entry) {
+			n.cfg.Deployment.Settings.SecondCopies, m.call, m.abandoned = true, &call{}, &call{}
+		}},
 		{violationWrongDestination, "safe", func(_ *Node, m *activeMessage, _ *Entry) { m.msg.Dest = 2 }},
 		{violationEndpointUnavailable, "safe", func(n *Node, _ *activeMessage, _ *Entry) {
 			n.directory.unavailable[1] = true
--- a/internal/node/handover.go
+++ b/internal/node/handover.go
@@ -75,8 +75,6 @@
 	Attempt  int
 	Endpoint logic.EndpointID
 	State    int32
-	// Cancelled tells whether package logic has cancelled the attempt. Older builds do not send this.
-	Cancelled bool `json:",omitempty"`
 }
 
 // attemptKey identifies an attempt.
@@ -89,7 +87,7 @@
 func (c *call) key() attemptKey { return attemptKey{c.id, c.attempt} }
 
 func newRelayedCall(c *call) relayedCall {
-	return relayedCall{c.id, c.attempt, c.endpoint, c.state.Load(), c.cancelled}
+	return relayedCall{c.id, c.attempt, c.endpoint, c.state.Load()}
 }
 
 // relayedCallOf returns nil for nil.
@@ -104,12 +102,11 @@
 // restore returns the call of the predecessor with the message that it carries.
 func (r relayedCall) restore(m *Message) *call {
 	c := &call{
-		id:        r.ID,
-		attempt:   r.Attempt,
-		endpoint:  r.Endpoint,
-		msg:       m,
-		state:     new(atomic.Int32),
-		cancelled: r.Cancelled,
+		id:       r.ID,
+		attempt:  r.Attempt,
+		endpoint: r.Endpoint,
+		msg:      m,
+		state:    new(atomic.Int32),
 	}
 	c.state.Store(r.State)
 	return c
--- a/internal/node/loop.go
+++ b/internal/node/loop.go
@@ -32,7 +32,7 @@
 	attempts int
 	ended    bool  // the message has ended while an attempt is still in flight
 	call     *call // the latest attempt, if it is in flight
-	// abandoned is the attempt before call if it is in flight: it was cancelled, but its call goes on for other messages.
+	// abandoned is the attempt before call if it is in flight: its message stopped waiting, but its call goes on for others.
 	abandoned *call
 	log       attemptLog
 
